gateway: a daemon for callers of plain HTTP on the platform, its adapter, and the libraries under it

Change: libraries/http1 (parser library on libuv, pipelined requests side by side), routing, discovery, forwarding (engine without I/O), windowed retry budget, region share, slot book; platform/ adapter; services/burdockstep_gateway; deploy/. Logs go to standard output through a bounded buffer. Ruled out: h2o 2.2 for callers, as it reads one request of a connection at a time. No unit tests yet.

--- /dev/null
+++ b/libraries/configuration/gateway_settings.cpp
@@ -0,0 +1,101 @@
+#include "libraries/configuration/gateway_settings.hpp"
+
+#include "libraries/configuration/table_reader.hpp"
+
+namespace burdockstep {
+
+namespace {
+
+constexpr std::int64_t default_lookup_lifetime_ms = 2'000;
+constexpr std::int64_t default_stop_limit_ms = 6'000;
+constexpr std::int64_t default_drain_limit_ms = 2'000;
+constexpr double default_retry_ratio = 0.1;
+constexpr double default_retry_slack = 20;
+constexpr std::int64_t default_retry_window_s = 10;
+constexpr double default_most_shift = 0.15;
+
+address read_address(table_reader& table, std::string_view key)
+{
+    std::string const text = table.text(key);
+    if (text.empty())
+        return {};
+    return handle_failure([&] { return parse_address(text); },
+                          [&](failure const& error) {
+                              table.report(key, text, error.message);
+                              return address{};
+                          });
+}
+
+void read_instance(table_reader& table, gateway_settings& settings)
+{
+    settings.instance = instance_name(table.text("name"));
+    settings.place = place_name(table.text("place"));
+    settings.region = region_name(table.text("region"));
+    settings.callers = read_address(table, "callers");
+    settings.readiness = read_address(table, "readiness");
+    settings.lookups = read_address(table, "lookups");
+    settings.metrics = read_address(table, "metrics");
+    settings.peers = read_address(table, "peers");
+    settings.store = read_address(table, "store");
+    table.complete();
+}
+
+void read_limits(table_reader& table, gateway_settings& settings)
+{
+    using std::chrono::milliseconds;
+    settings.lookup_lifetime = milliseconds(table.integer_or(
+        "lookup_lifetime_ms", {.lowest = 100, .highest = 60'000}, default_lookup_lifetime_ms));
+    settings.stop_limit = milliseconds(table.integer_or(
+        "stop_limit_ms", {.lowest = 500, .highest = 3'600'000}, default_stop_limit_ms));
+    settings.drain_limit = milliseconds(table.integer_or(
+        "drain_limit_ms", {.lowest = 100, .highest = 600'000}, default_drain_limit_ms));
+    settings.retry_ratio =
+        table.number_or("retry_ratio", {.lowest = 0, .highest = 1}, default_retry_ratio);
+    settings.retry_slack =
+        table.number_or("retry_slack", {.lowest = 0, .highest = 1e6}, default_retry_slack);
+    settings.retry_window = std::chrono::seconds(table.integer_or(
+        "retry_window_s", {.lowest = 1, .highest = 3'600}, default_retry_window_s));
+    settings.most_shift =
+        table.number_or("most_shift", {.lowest = 0, .highest = 1}, default_most_shift);
+    table.complete();
+}
+
+void read_places(toml::table const& table, table_reader& root, gateway_settings& settings)
+{
+    for (auto const& [place, region] : table) {
+        auto const name = region.value<std::string>();
+        if (!name) {
+            root.report("places", std::string(place.str()), "write the region as a text");
+            continue;
+        }
+        settings.places.emplace(place_name(std::string(place.str())), region_name(*name));
+    }
+}
+
+} // namespace
+
+gateway_settings_reading read_gateway_settings(std::string const& file, std::string_view text)
+{
+    gateway_settings_reading reading;
+    auto const root_table = parse_toml(file, text, reading.findings);
+    if (!root_table)
+        return reading;
+    gateway_settings settings;
+    table_reader root(file, "", *root_table, reading.findings);
+    if (toml::table const* const table = root.table("instance")) {
+        table_reader instance(file, "instance", *table, reading.findings);
+        read_instance(instance, settings);
+    }
+    if (toml::table const* const table = root.table("limits")) {
+        table_reader limits(file, "limits", *table, reading.findings);
+        read_limits(limits, settings);
+    }
+    if (toml::table const* const table = root.table("places"))
+        read_places(*table, root, settings);
+    root.complete();
+    if (reading.findings.empty())
+        reading.settings = std::move(settings);
+    return reading;
+}
+
+} // namespace burdockstep
--- a/libraries/core/log.cpp
+++ b/libraries/core/log.cpp
@@ -2,16 +2,63 @@
 
 #include <fmt/chrono.h>
 
-#include <cstdio>
+#include <algorithm>
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
 
 namespace burdockstep {
 
 namespace {
 
-constexpr unsigned lines_per_second = 5;
+/// Lines that wait for a reader; beyond it they are dropped.
+constexpr std::size_t most_pending_bytes = std::size_t{256} * 1024;
+/// A pipe that is writable takes so many bytes without blocking.
+constexpr std::size_t unblocked_write_bytes = PIPE_BUF;
 constexpr std::size_t remembered_sentences = 256;
 
 log_level threshold = log_level::info;
+bool is_buffered = false;
+
+struct pending_lines
+{
+    std::string bytes;
+    std::size_t dropped = 0;
+
+    void add(std::string_view line)
+    {
+        if (bytes.size() + line.size() > most_pending_bytes) {
+            ++dropped;
+            return;
+        }
+        if (dropped > 0)
+            bytes += fmt::format("lines dropped, as nobody read them: {}\n",
+                                 std::exchange(dropped, 0));
+        bytes += line;
+    }
+
+    void flush()
+    {
+        std::size_t written = 0;
+        while (written < bytes.size()) {
+            pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+            if (poll(&output, 1, 0) <= 0 || (output.revents & POLLOUT) == 0)
+                break;
+            std::size_t const size = std::min(bytes.size() - written, unblocked_write_bytes);
+            ssize_t const taken = ::write(STDOUT_FILENO, bytes.data() + written, size);
+            if (taken <= 0)
+                break;
+            written += static_cast<std::size_t>(taken);
+        }
+        bytes.erase(0, written);
+    }
+};
+
+pending_lines& pending()
+{
+    static pending_lines lines;
+    return lines;
+}
 
 constexpr std::string_view name_of(log_level level)
 {
@@ -48,6 +95,16 @@
     threshold = level;
 }
 
+void logger::set_buffered(bool buffered)
+{
+    is_buffered = buffered;
+}
+
+void logger::flush()
+{
+    pending().flush();
+}
+
 void logger::debug(std::string_view sentence, std::initializer_list<log_field> fields)
 {
     write(log_level::debug, sentence, fields);
@@ -83,7 +140,7 @@
         recent.window_start = now;
         recent.written = 0;
     }
-    if (recent.written >= lines_per_second) {
+    if (recent.written >= lines_per_second_) {
         ++recent.suppressed;
         return;
     }
@@ -98,7 +155,9 @@
     if (suppressed > 0)
         line += fmt::format(" suppressed={}", suppressed);
     line.push_back('\n');
-    std::fputs(line.c_str(), stderr);
+    pending().add(line);
+    if (!is_buffered || pending().bytes.size() >= unblocked_write_bytes)
+        pending().flush();
 }
 
 } // namespace burdockstep
--- a/libraries/core/log.hpp
+++ b/libraries/core/log.hpp
@@ -1,4 +1,4 @@
-/// Structured log on standard error: time, level, part, a short sentence, key=value fields.
+/// Structured log on standard output: time, level, part, a short sentence, key=value fields.
 #pragma once
 
 #include <fmt/format.h>
@@ -36,10 +36,15 @@
 
 /// Writes lines of one part of the program under a fixed prefix. A sentence that repeats is
 /// written at most `lines_per_second` times a second; the next line tells how many were left out.
+/// Writing never blocks: lines that nobody reads are dropped beyond a bound, and counted.
 class logger
 {
 public:
-    explicit logger(std::string_view prefix) : prefix_(prefix) {}
+    static constexpr unsigned usual_lines_per_second = 5;
+
+    explicit logger(std::string_view prefix, unsigned lines_per_second = usual_lines_per_second)
+        : prefix_(prefix), lines_per_second_(lines_per_second)
+    {}
 
     void debug(std::string_view sentence, std::initializer_list<log_field> fields = {});
     void info(std::string_view sentence, std::initializer_list<log_field> fields = {});
@@ -48,6 +53,10 @@
 
     /// Lines below this level are dropped, in all loggers of the process.
     static void set_threshold(log_level level);
+    /// Keeps lines until `flush`, or until a few kilobytes have come together.
+    static void set_buffered(bool buffered);
+    /// Hands on what standard output takes now.
+    static void flush();
 
 private:
     struct recent_lines
@@ -60,6 +69,7 @@
     void write(log_level level, std::string_view sentence, std::initializer_list<log_field> fields);
 
     std::string prefix_;
+    unsigned lines_per_second_;
     std::unordered_map<std::string, recent_lines> recent_;
 };
 
--- a/libraries/core/random.hpp
+++ b/libraries/core/random.hpp
@@ -10,8 +10,15 @@
 class random_source
 {
 public:
+    using result_type = std::uint64_t;
+
     explicit random_source(std::uint64_t seed) : engine_(seed) {}
 
+    /// As the standard library's algorithms use a generator.
+    static constexpr result_type min() { return std::mt19937_64::min(); }
+    static constexpr result_type max() { return std::mt19937_64::max(); }
+    result_type operator()() { return engine_(); }
+
     /// A uniform 64-bit number.
     std::uint64_t next() { return engine_(); }
     /// A uniform number in [0, bound). `bound` is at least 1.
--- /dev/null
+++ b/libraries/discovery/upstream_registry.hpp
@@ -0,0 +1,84 @@
+/// The upstreams that may be used, from the registry, their own answers and peers.
+#pragma once
+
+#include "libraries/core/clock.hpp"
+#include "libraries/discovery/upstream_registration.hpp"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace burdockstep {
+
+/// One upstream as this entry knows it.
+struct known_upstream
+{
+    upstream_registration registration;
+    region_name region;
+    time_point first_seen;
+    time_point cold_until;
+    bool draining = false;  ///< By its own word or a peer's. It stays so for this incarnation.
+    bool removed = false;   ///< Its entry has gone.
+    time_point removed_at;
+    bool evacuated = false; ///< Its place gets nothing.
+
+    /// True when it may get requests.
+    bool is_usable() const { return !draining && !removed && !evacuated; }
+};
+
+/// Limits of the registry.
+struct registry_options
+{
+    /// After the store was away, entries that have gone are believed after this time: upstreams
+    /// that live write theirs again within two seconds of the store's return.
+    duration return_grace = std::chrono::milliseconds(2'200);
+    /// A removed upstream is forgotten after this time: what is still under way has ended.
+    duration memory = std::chrono::seconds(30);
+    /// When this part of a service's upstreams lose their entries together, the registry lost
+    /// them, not the upstreams: they are kept for `mass_loss_grace`.
+    double mass_loss_part = 0.6;
+    duration mass_loss_grace = std::chrono::milliseconds(1'000);
+};
+
+/// Keeps the upstreams. Draining and removal are final for an incarnation.
+class upstream_registry
+{
+public:
+    upstream_registry(registry_options options, std::map<place_name, region_name> regions);
+
+    /// Takes the whole registry: what isn't in it has no entry.
+    void take_all(std::vector<registration_change> const& all, time_point now);
+    void take_changes(std::vector<registration_change> const& changes, time_point now);
+    /// The store answers again after it was away.
+    void note_store_returned(time_point now);
+    /// Somebody learnt that an upstream leaves. Returns true when that is news.
+    bool note_leaving(upstream_name const& name);
+    /// A health answer told how long an upstream is cold.
+    void note_cold(upstream_name const& name, duration left, time_point now);
+    void set_evacuated(std::set<place_name> const& places, duration cold_after, time_point now);
+
+    /// Applies what has become due. Returns true when a usable set has changed.
+    bool expire(time_point now);
+
+    std::map<upstream_name, known_upstream> const& upstreams() const { return upstreams_; }
+    /// Grows with each change of what is usable, where, or how cold.
+    std::uint64_t changes() const { return changes_; }
+
+private:
+    void take(upstream_registration const& registration, time_point now);
+    void note_missing(upstream_name const& name, time_point now);
+    void judge_missing(time_point now);
+    std::size_t count_missing(service_name const& service) const;
+    std::size_t count_usable(service_name const& service) const;
+
+    registry_options options_;
+    std::map<place_name, region_name> regions_;
+    std::map<upstream_name, known_upstream> upstreams_;
+    std::map<upstream_name, time_point> missing_; ///< Entries that have gone, not judged yet.
+    std::set<place_name> evacuated_;
+    time_point absences_believed_from_;
+    bool filled_ = false; ///< The registry has been read once.
+    std::uint64_t changes_ = 1;
+};
+
+} // namespace burdockstep
--- /dev/null
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -0,0 +1,287 @@
+// Where a request goes: the choice among upstreams and regions.
+#include "libraries/forwarding/forwarding_engine.hpp"
+
+#include "libraries/core/digest.hpp"
+
+#include <algorithm>
+
+namespace burdockstep {
+
+namespace {
+
+/// Milliseconds that a download's bytes are worth on the way between places and between regions:
+/// links between them are narrow and dear.
+constexpr double download_between_places_ms = 40;
+constexpr double download_between_regions_ms = 150;
+constexpr double same_place_round_trip_ms = 0.5;
+/// Work of which nothing has been seen yet is taken as this part of the latency objective.
+constexpr double unseen_work_part = 0.5;
+/// Cold upstreams take about twice as long.
+constexpr double cold_slowness = 2.0;
+/// Prefers, at equal cost, the upstream with more room, and the same one for the same object.
+constexpr double occupancy_preference_ms = 6;
+constexpr double object_preference_ms = 4;
+/// Another region's upstream keeps this many slots for its own region's entries.
+constexpr unsigned slots_left_to_region = 1;
+
+double milliseconds(duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+double unit_hash(std::uint64_t object, upstream_key key)
+{
+    std::uint64_t const mixed = hash_of(
+        std::string_view(reinterpret_cast<char const*>(&object), sizeof object), key.get());
+    return static_cast<double>(mixed >> 11U) * 0x1.0p-53;
+}
+
+} // namespace
+
+duration forwarding_engine::round_trip(upstream_track const& track) const
+{
+    switch (track.how_far()) {
+    case distance::same_place:
+        return duration(static_cast<std::int64_t>(same_place_round_trip_ms * 1'000));
+    case distance::same_region:
+        return place_delay_;
+    case distance::other_region:
+        break;
+    }
+    auto const found = region_delays_.find(track.known().region);
+    return found == region_delays_.end() ? options_.usual_region_delay : found->second;
+}
+
+void forwarding_engine::note_round_trip(upstream_name const& upstream, duration measured)
+{
+    auto const found = tracks_.find(upstream);
+    if (found == tracks_.end() || found->second.how_far() == distance::same_place)
+        return;
+    // The shortest one seen lately: a busy upstream accepts late.
+    bool const in_region = found->second.how_far() == distance::same_region;
+    duration& kept = in_region ? place_delay_
+                               : region_delays_
+                                     .try_emplace(found->second.known().region,
+                                                  options_.usual_region_delay)
+                                     .first->second;
+    kept = measured < kept ? measured : kept + (measured - kept) / 16;
+}
+
+duration forwarding_engine::expected_work(pending const& which) const
+{
+    duration const seen = pools_.at(which.service).work.typical();
+    if (seen > duration::zero())
+        return seen;
+    return std::chrono::duration_cast<duration>(which.which->latency_objective * unseen_work_part);
+}
+
+bool forwarding_engine::may_run_in(route const& which, region_name const& region) const
+{
+    auto const& homes = which.home_regions;
+    return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
+}
+
+bool forwarding_engine::is_cold_sender(upstream_track const& track) const
+{
+    // The entry with the highest hash among those of the upstream's region; of all where none is.
+    instance_name const* best = nullptr;
+    std::uint64_t best_hash = 0;
+    bool best_near = false;
+    for (auto const& [name, region] : entries_) {
+        bool const near = region == track.known().region;
+        std::uint64_t const hash = hash_of(name.get(), track.key().get());
+        bool const better = best == nullptr || (near && !best_near) ||
+                            (near == best_near && hash > best_hash);
+        if (!better)
+            continue;
+        best = &name;
+        best_hash = hash;
+        best_near = near;
+    }
+    return best == nullptr || *best == options_.instance;
+}
+
+bool forwarding_engine::is_slot_mine(upstream_track const& track, unsigned free, time_point now)
+{
+    auto const [since, is_new] = free_since_.try_emplace(track.key(), now);
+    (void)is_new;
+    if (track.how_far() == distance::other_region)
+        return free > slots_left_to_region;
+    std::uint64_t const own = hash_of(options_.instance.get(), track.key().get());
+    unsigned ahead = 0;
+    for (instance_name const& each : region_entries_) {
+        if (each != options_.instance && hash_of(each.get(), track.key().get()) > own)
+            ++ahead;
+    }
+    if (free > ahead)
+        return true;
+    return now - since->second >= options_.slot_turn * (ahead + 1 - free);
+}
+
+std::optional<double> forwarding_engine::cost_of(pending const& which, upstream_track& track,
+                                                 time_point now)
+{
+    auto const& tried = which.tried;
+    if (std::find(tried.begin(), tried.end(), track.known().registration.name) != tried.end())
+        return std::nullopt;
+    service_terms const* const terms = routes_->terms_of(which.service);
+    double const cold_rate = terms == nullptr ? 0.0 : terms->cold_requests_per_s;
+    if (!track.may_send(now, cold_rate, is_cold_sender(track)))
+        return std::nullopt;
+    unsigned const taken = track.occupancy(book_, now);
+    if (taken >= track.slots()) {
+        free_since_.erase(track.key());
+        return std::nullopt;
+    }
+    if (!is_slot_mine(track, track.slots() - taken, now))
+        return std::nullopt;
+    double cost = milliseconds(round_trip(track));
+    if (which.which->kind == request_kind::download) {
+        if (track.how_far() == distance::same_region)
+            cost += download_between_places_ms;
+        else if (track.how_far() == distance::other_region)
+            cost += download_between_regions_ms;
+    }
+    double const slowness = track.slowness(now) * (track.is_cold(now) ? cold_slowness : 1.0);
+    cost += milliseconds(expected_work(which)) * slowness;
+    cost += milliseconds(which.which->latency_objective) * track.failure_rate();
+    cost += occupancy_preference_ms * taken / track.slots();
+    if (which.arrival.object != 0)
+        cost += object_preference_ms * unit_hash(which.arrival.object, track.key());
+    return cost;
+}
+
+bool forwarding_engine::has_local_upstream(pending const& which) const
+{
+    auto const& names = pools_.at(which.service).upstreams;
+    return std::any_of(names.begin(), names.end(), [&](upstream_name const& each) {
+        upstream_track const& track = tracks_.at(each);
+        return track.known().is_usable() && !track.is_ejected() &&
+               track.how_far() != distance::other_region &&
+               may_run_in(*which.which, track.known().region);
+    });
+}
+
+std::optional<forwarding_engine::choice> forwarding_engine::choose(pending const& which,
+                                                                   time_point now)
+{
+    auto const pool = pools_.find(which.service);
+    if (pool == pools_.end())
+        return std::nullopt;
+    std::optional<choice> near;
+    std::optional<choice> far;
+    for (upstream_name const& name : pool->second.upstreams) {
+        upstream_track& track = tracks_.at(name);
+        if (!may_run_in(*which.which, track.known().region))
+            continue;
+        std::optional<double> const cost = cost_of(which, track, now);
+        if (!cost)
+            continue;
+        bool const leaves = track.how_far() == distance::other_region;
+        std::optional<choice>& best = leaves ? far : near;
+        if (!best || *cost < best->cost_ms)
+            best = {.track = &track, .cost_ms = *cost, .left_region = leaves};
+    }
+    if (!has_local_upstream(which))
+        return far;
+    share_verdict const verdict = share_.judge(now);
+    bool const heavy = which.which->kind == request_kind::download;
+    if (near && !(verdict == share_verdict::must_leave && far && !heavy))
+        return near;
+    if (!far || (verdict == share_verdict::must_stay && !which.share_counted))
+        return std::nullopt;
+    // A request that would be late there takes a slot for little: it stays and waits.
+    double const elapsed = milliseconds(now - which.arrived);
+    bool const in_time = elapsed + far->cost_ms <= milliseconds(which.which->latency_objective);
+    return in_time || verdict == share_verdict::must_leave ? far : std::nullopt;
+}
+
+double forwarding_engine::free_slots(service_name const& service, time_point now) const
+{
+    double free = 0;
+    for (upstream_name const& each : pools_.at(service).upstreams) {
+        upstream_track const& track = tracks_.at(each);
+        unsigned const taken = track.occupancy(book_, now);
+        if (track.known().is_usable() && track.slots() > taken)
+            free += track.slots() - taken;
+    }
+    return free;
+}
+
+bool forwarding_engine::try_place(pending& which, time_point now, commands& out)
+{
+    if (now < suspended_until_)
+        return false;
+    std::optional<choice> const chosen = choose(which, now);
+    if (!chosen)
+        return false;
+    start_send(which, *chosen, now, out);
+    return true;
+}
+
+void forwarding_engine::start_send(pending& which, choice const& chosen, time_point now,
+                                   commands& out)
+{
+    upstream_track& track = *chosen.track;
+    service_terms const* const terms = routes_->terms_of(which.service);
+    if (terms != nullptr && terms->cold_requests_per_s > 0 && track.is_cold(now))
+        track.spend_cold_room();
+    track.note_sent(now);
+    mark_changed(track);
+    if (!which.share_counted) {
+        share_.note(chosen.left_region, now);
+        which.share_counted = true;
+        counters_.left_region += chosen.left_region ? 1 : 0;
+    }
+    which.stage = std::get<waiting_request>(std::move(which.stage)).dispatch();
+    which.at_upstream = true;
+    which.upstream = track.known().registration.name;
+    which.tried.push_back(which.upstream);
+    which.sent_at = now;
+    if (which.sends == 0)
+        which.held = now - which.arrived;
+    ++which.sends;
+    ++counters_.sends;
+    counters_.further_sends += which.sends > 1 ? 1 : 0;
+    schedule(which, which.limit);
+    bool const once = !is_idempotent(which.which->kind);
+    out.emplace_back(
+        send_request{.id = which.arrival.id,
+                     .upstream = which.upstream,
+                     .to = track.known().registration.at,
+                     .time_left = which.limit - now,
+                     .connect_timeout = round_trip(track) * 2 + std::chrono::milliseconds(250),
+                     .longest_idle = once ? options_.idle_limit_once : std::chrono::hours(1)});
+}
+
+void forwarding_engine::place_waiting(service_name const& service, time_point now, commands& out)
+{
+    auto const found = waiting_.find(service);
+    if (found == waiting_.end() || found->second.empty())
+        return;
+    auto order = found->second;
+    std::sort(order.begin(), order.end(), [&](request_id left, request_id right) {
+        pending const& a = requests_.at(left);
+        pending const& b = requests_.at(right);
+        if (a.which->rank != b.which->rank)
+            return a.which->rank < b.which->rank;
+        return a.hold_until < b.hold_until;
+    });
+    for (request_id const id : order) {
+        if (try_place(requests_.at(id), now, out))
+            std::erase(waiting_[service], id);
+    }
+}
+
+void forwarding_engine::place_all_waiting(time_point now, commands& out)
+{
+    for (auto const& [service, ids] : waiting_)
+        place_waiting(service, now, out);
+}
+
+void forwarding_engine::mark_changed(upstream_track const& track)
+{
+    changed_.insert(track.key());
+}
+
+} // namespace burdockstep
--- /dev/null
+++ b/libraries/http1/client_connection.hpp
@@ -0,0 +1,75 @@
+/// One connection of the HTTP/1.1 client.
+#pragma once
+
+#include "libraries/http1/client.hpp"
+#include "libraries/http1/stream_socket.hpp"
+
+#include <optional>
+
+namespace burdockstep::http1 {
+
+/// Carries one call at a time and tells whether it can be kept after it.
+class client_connection final : public message_listener, public stream_listener
+{
+public:
+    struct owner
+    {
+        virtual ~owner() = default;
+        /// The connection's call is over. It can carry another one when `reusable`.
+        virtual void take_result(client_connection& connection, call_result result,
+                                 bool reusable) = 0;
+        /// The connection ended, or got bytes, while it was idle.
+        virtual void take_idle_end(client_connection& connection) = 0;
+        virtual void count_skipped_answer() = 0;
+    };
+
+    client_connection(event_loop& loop, clock_source const& clock, client_limits const& limits,
+                      owner& its_owner, address to);
+
+    /// Starts a call. On a new connection it connects first.
+    void start(call_number call, call_options options);
+    /// Doesn't keep the connection once its call has ended.
+    void retire() { retired_ = true; }
+
+    call_number call() const { return call_; }
+    address const& to() const { return to_; }
+    time_point idle_since() const { return idle_since_; }
+    /// When the connection is to be closed for its idleness.
+    time_point expires() const { return expires_; }
+
+    void on_connected() override;
+    void on_bytes(std::string_view bytes) override;
+    void on_stream_end(stream_end end) override;
+    void on_head(message_head head) override;
+    void on_body(std::string_view bytes) override;
+    void on_message_end() override;
+
+private:
+    void send_request();
+    void finish(call_end end);
+    void watch_for_answer();
+    bool is_own_answer(message_head const& head) const;
+    void note_keep_alive(message_head const& head);
+
+    clock_source const& clock_;
+    client_limits limits_;
+    owner& owner_;
+    address to_;
+    stream_socket socket_;
+    message_reader reader_;
+    timer patience_; ///< Limits connecting, then the wait for the answer.
+    call_number call_;
+    std::optional<call_options> options_; ///< Of the call under way.
+    call_result result_;
+    time_point connect_began_;
+    time_point idle_since_;
+    time_point expires_;
+    duration kept_for_;
+    bool connected_ = false;
+    bool used_before_ = false;
+    bool skipping_ = false; ///< The answer that is being read belongs to another request.
+    bool has_skipped_ = false;
+    bool retired_ = false;
+};
+
+} // namespace burdockstep::http1
--- /dev/null
+++ b/libraries/http1/message_reader.cpp
@@ -0,0 +1,146 @@
+#include "libraries/http1/message_reader.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace burdockstep::http1 {
+
+namespace {
+
+constexpr std::uint64_t no_content_length = std::numeric_limits<std::uint64_t>::max();
+/// What the parser's callbacks return to go on, and to take no body.
+constexpr int read_on = 0;
+constexpr int skip_body = 1;
+
+message_reader& reader_of(http_parser* parser)
+{
+    return *static_cast<message_reader*>(parser->data);
+}
+
+std::string lower_case(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : static_cast<char>(c);
+    });
+    return text;
+}
+
+} // namespace
+
+message_reader::message_reader(message_role role, std::size_t largest_head_bytes,
+                               message_listener& listener)
+    : listener_(listener), role_(role), largest_head_bytes_(largest_head_bytes)
+{
+    http_parser_init(&parser_, role == message_role::requests ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_.data = this;
+}
+
+http_parser_settings const& message_reader::callbacks()
+{
+    static http_parser_settings const settings = [] {
+        http_parser_settings made;
+        http_parser_settings_init(&made);
+        made.on_message_begin = [](http_parser* parser) {
+            message_reader& reader = reader_of(parser);
+            reader.head_ = {};
+            reader.inside_message_ = true;
+            reader.inside_head_ = true;
+            reader.reading_value_ = false;
+            return read_on;
+        };
+        made.on_url = [](http_parser* parser, char const* at, std::size_t size) {
+            reader_of(parser).head_.target.append(at, size);
+            return read_on;
+        };
+        made.on_header_field = [](http_parser* parser, char const* at, std::size_t size) {
+            message_reader& reader = reader_of(parser);
+            if (reader.reading_value_)
+                reader.finish_header();
+            reader.header_name_.append(at, size);
+            return read_on;
+        };
+        made.on_header_value = [](http_parser* parser, char const* at, std::size_t size) {
+            message_reader& reader = reader_of(parser);
+            reader.reading_value_ = true;
+            reader.header_value_.append(at, size);
+            return read_on;
+        };
+        made.on_headers_complete = [](http_parser* parser) { return reader_of(parser).take_head(); };
+        made.on_body = [](http_parser* parser, char const* at, std::size_t size) {
+            reader_of(parser).listener_.on_body(std::string_view(at, size));
+            return read_on;
+        };
+        made.on_message_complete = [](http_parser* parser) {
+            message_reader& reader = reader_of(parser);
+            reader.inside_message_ = false;
+            reader.head_bytes_ = 0;
+            reader.listener_.on_message_end();
+            if (reader.stopped_)
+                http_parser_pause(parser, 1);
+            return read_on;
+        };
+        return made;
+    }();
+    return settings;
+}
+
+void message_reader::finish_header()
+{
+    reading_value_ = false;
+    if (header_name_.empty())
+        return;
+    head_.headers.add(lower_case(std::exchange(header_name_, {})),
+                      std::exchange(header_value_, {}));
+}
+
+int message_reader::take_head()
+{
+    finish_header();
+    inside_head_ = false;
+    // Upgrades aren't offered: what follows is read as an ordinary body.
+    parser_.upgrade = 0;
+    if (role_ == message_role::requests)
+        head_.method = http_method_str(static_cast<http_method>(parser_.method));
+    else
+        head_.status = static_cast<int>(parser_.status_code);
+    if (parser_.content_length != no_content_length)
+        head_.content_length = parser_.content_length;
+    head_.keep_alive = http_should_keep_alive(&parser_) != 0;
+    listener_.on_head(std::move(head_));
+    return bodiless_ ? skip_body : read_on;
+}
+
+bool message_reader::read(std::string_view bytes)
+{
+    if (fault_ != read_fault::none)
+        return false;
+    if (stopped_)
+        return true;
+    bool const began_in_head = inside_head_ || !inside_message_;
+    std::size_t const taken =
+        http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+    if (inside_head_) {
+        head_bytes_ = began_in_head ? head_bytes_ + bytes.size() : bytes.size();
+        if (head_bytes_ > largest_head_bytes_)
+            fault_ = read_fault::head_too_large;
+    }
+    auto const error = HTTP_PARSER_ERRNO(&parser_);
+    if (error == HPE_HEADER_OVERFLOW)
+        fault_ = read_fault::head_too_large;
+    else if (error != HPE_OK && error != HPE_PAUSED)
+        fault_ = read_fault::malformed;
+    else if (taken != bytes.size() && !stopped_)
+        fault_ = read_fault::malformed;
+    return fault_ == read_fault::none;
+}
+
+bool message_reader::read_end()
+{
+    if (fault_ != read_fault::none)
+        return false;
+    http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+    return HTTP_PARSER_ERRNO(&parser_) == HPE_OK && !inside_message_;
+}
+
+} // namespace burdockstep::http1
--- /dev/null
+++ b/libraries/http1/message_reader.hpp
@@ -0,0 +1,94 @@
+/// Incremental reading of HTTP/1.1 messages from a byte stream.
+#pragma once
+
+#include "libraries/net/http_types.hpp"
+
+#include <http_parser.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace burdockstep::http1 {
+
+/// Start line and headers of one message. Header names are lower case.
+struct message_head
+{
+    std::string method; ///< Of a request.
+    std::string target; ///< Of a request: path and query as sent.
+    int status = 0;     ///< Of an answer.
+    http_headers headers;
+    std::optional<std::uint64_t> content_length;
+    bool keep_alive = false;
+};
+
+/// Takes what the reader finds, in order.
+class message_listener
+{
+public:
+    virtual ~message_listener() = default;
+
+    virtual void on_head(message_head head) = 0;
+    virtual void on_body(std::string_view bytes) = 0;
+    virtual void on_message_end() = 0;
+};
+
+/// Which messages a reader expects.
+enum class message_role
+{
+    requests,
+    answers
+};
+
+/// Why bytes were rejected.
+enum class read_fault
+{
+    none,
+    malformed,
+    head_too_large
+};
+
+/// Splits a stream into messages. Ambiguous framing (two lengths, a length beside chunks, an
+/// unknown transfer encoding) is malformed. After a fault nothing more is read.
+class message_reader
+{
+public:
+    /// `largest_head_bytes` bounds start line and headers together.
+    message_reader(message_role role, std::size_t largest_head_bytes, message_listener& listener);
+
+    /// Reads bytes. Returns false once there is a fault.
+    bool read(std::string_view bytes);
+    /// The stream has ended. Returns false when that cuts a message; ends one that has no length.
+    bool read_end();
+    /// The next answers have no body, whatever their headers say: they answer HEAD requests.
+    void set_bodiless(bool bodiless) { bodiless_ = bodiless; }
+    /// Stops after the present callback; what is left of the bytes is dropped.
+    void stop() { stopped_ = true; }
+
+    read_fault fault() const { return fault_; }
+    /// True while a message has begun and not ended.
+    bool is_inside_message() const { return inside_message_; }
+
+private:
+    static http_parser_settings const& callbacks();
+    void finish_header();
+    int take_head();
+
+    message_listener& listener_;
+    http_parser parser_{};
+    message_role role_;
+    std::size_t largest_head_bytes_;
+    std::size_t head_bytes_ = 0;
+    message_head head_;
+    std::string header_name_;
+    std::string header_value_;
+    bool reading_value_ = false;
+    bool inside_message_ = false;
+    bool inside_head_ = false;
+    bool stopped_ = false;
+    bool bodiless_ = false;
+    read_fault fault_ = read_fault::none;
+};
+
+} // namespace burdockstep::http1
--- /dev/null
+++ b/libraries/http1/server.cpp
@@ -0,0 +1,156 @@
+#include "libraries/http1/server.hpp"
+
+#include "libraries/http1/server_connection.hpp"
+
+#include <fmt/format.h>
+
+#include <unordered_map>
+#include <vector>
+
+namespace burdockstep::http1 {
+
+namespace {
+
+constexpr int listen_backlog = 511;
+/// Head and idle limits are whole seconds: this is fine enough.
+constexpr duration sweep_interval = std::chrono::milliseconds(500);
+
+} // namespace
+
+std::string_view reason_phrase(int status)
+{
+    char const* const phrase = http_status_str(static_cast<http_status>(status));
+    return phrase;
+}
+
+struct server::state final : server_connection::owner
+{
+    state(event_loop& loop, clock_source const& clock, server_limits limits)
+        : loop_(loop), clock_(clock), limits_(limits), sweep_(loop)
+    {}
+
+    void take_request(std::shared_ptr<exchange> each) override { handler_(std::move(each)); }
+
+    void take_closed(server_connection& connection) override
+    {
+        auto const found = connections_.find(&connection);
+        if (found == connections_.end())
+            return;
+        // Its callbacks may still be on the stack.
+        loop_.post([over = std::shared_ptr<server_connection>(std::move(found->second))] {});
+        connections_.erase(found);
+    }
+
+    void accept()
+    {
+        auto connection = std::make_unique<server_connection>(loop_, clock_, limits_, *this);
+        if (!connection->accept(reinterpret_cast<uv_stream_t*>(listening_)))
+            return;
+        if (closing_)
+            connection->close_after_answers();
+        ++accepted_;
+        connections_.emplace(connection.get(), std::move(connection));
+    }
+
+    template <class Action>
+    void for_each_connection(Action action)
+    {
+        std::vector<server_connection*> all;
+        all.reserve(connections_.size());
+        for (auto const& [key, connection] : connections_)
+            all.push_back(key);
+        for (server_connection* const each : all) {
+            if (connections_.contains(each))
+                action(*each);
+        }
+    }
+
+    void stop_accepting()
+    {
+        if (listening_ == nullptr)
+            return;
+        uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(listening_, nullptr)),
+                 [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
+    }
+
+    event_loop& loop_;
+    clock_source const& clock_;
+    server_limits limits_;
+    timer sweep_;
+    request_handler handler_;
+    uv_tcp_t* listening_ = nullptr;
+    std::unordered_map<server_connection*, std::unique_ptr<server_connection>> connections_;
+    std::uint64_t accepted_ = 0;
+    bool closing_ = false;
+};
+
+server::server(event_loop& loop, clock_source const& clock, server_limits limits)
+    : state_(std::make_shared<state>(loop, clock, limits))
+{}
+
+server::~server()
+{
+    state_->stop_accepting();
+    state_->handler_ = [](auto const&) {};
+    state_->for_each_connection([](server_connection& each) { each.abort(); });
+}
+
+result<address> server::try_listen(address const& at, request_handler handler)
+{
+    state_->handler_ = std::move(handler);
+    state_->listening_ = new uv_tcp_t{};
+    uv_tcp_t* const listening = state_->listening_;
+    uv_tcp_init(state_->loop_.raw(), listening);
+    listening->data = state_.get();
+    sockaddr_in const wanted = at.to_sockaddr();
+    int code = uv_tcp_bind(listening, reinterpret_cast<sockaddr const*>(&wanted), 0);
+    if (code == 0) {
+        code = uv_listen(reinterpret_cast<uv_stream_t*>(listening), listen_backlog,
+                         [](uv_stream_t* stream, int status) {
+                             if (status == 0)
+                                 static_cast<state*>(stream->data)->accept();
+                         });
+    }
+    if (code != 0) {
+        return fail(error_kind::invalid_input,
+                    fmt::format("address {} can't be listened on ({}); free it or choose another",
+                                at.text(), uv_strerror(code)));
+    }
+    state_->sweep_.start_periodic(sweep_interval, [raw = state_.get()] {
+        time_point const now = raw->clock_.now();
+        raw->for_each_connection([now](server_connection& each) { each.check_time_limits(now); });
+    });
+    sockaddr_storage actual{};
+    int length = sizeof actual;
+    uv_tcp_getsockname(listening, reinterpret_cast<sockaddr*>(&actual), &length);
+    return address::from_sockaddr(reinterpret_cast<sockaddr const&>(actual));
+}
+
+void server::set_limits(server_limits limits)
+{
+    state_->limits_ = limits;
+}
+
+void server::close_after_answers()
+{
+    state_->closing_ = true;
+    state_->for_each_connection([](server_connection& each) { each.close_after_answers(); });
+}
+
+void server::stop_accepting()
+{
+    state_->stop_accepting();
+    state_->for_each_connection([](server_connection& each) { each.close_if_idle(); });
+}
+
+std::size_t server::open_connections() const
+{
+    return state_->connections_.size();
+}
+
+std::uint64_t server::accepted() const
+{
+    return state_->accepted_;
+}
+
+} // namespace burdockstep::http1
--- a/libraries/net/event_loop.cpp
+++ b/libraries/net/event_loop.cpp
@@ -24,9 +24,14 @@
 event_loop::event_loop()
 {
     uv_loop_init(&loop_);
-    wake_.data = this;
-    uv_async_init(&loop_, &wake_,
-                  [](uv_async_t* handle) { static_cast<event_loop*>(handle->data)->run_posted(); });
+    uv_idle_init(&loop_, &busy_);
+    uv_check_init(&loop_, &check_);
+    check_.data = this;
+    uv_check_start(&check_, [](uv_check_t* handle) {
+        static_cast<event_loop*>(handle->data)->run_posted();
+    });
+    // Only open sockets and timers keep the loop running.
+    uv_unref(reinterpret_cast<uv_handle_t*>(&check_));
 }
 
 event_loop::~event_loop()
@@ -49,7 +54,7 @@
 void event_loop::post(std::function<void()> work)
 {
     posted_.push_back(std::move(work));
-    uv_async_send(&wake_);
+    uv_idle_start(&busy_, [](uv_idle_t*) {});
 }
 
 void event_loop::run_posted()
@@ -58,6 +63,8 @@
     auto batch = std::exchange(posted_, {});
     for (auto const& work : batch)
         work();
+    if (posted_.empty())
+        uv_idle_stop(&busy_);
 }
 
 timer::timer(event_loop& loop) : state_(new state)
--- /dev/null
+++ b/libraries/steering/region_share.hpp
@@ -0,0 +1,61 @@
+/// Keeps the part of the requests that leaves the region from changing too fast, either way.
+#pragma once
+
+#include "libraries/core/clock.hpp"
+
+#include <array>
+#include <cstdint>
+
+namespace burdockstep {
+
+/// Bounds of one entry's shifts.
+struct region_share_options
+{
+    /// Largest change of the part between two windows that follow each other.
+    double most_change = 0.10;
+    /// Length of a window: a multiple of ten slices.
+    duration window = std::chrono::seconds(2);
+};
+
+/// What a request may do.
+enum class share_verdict
+{
+    free,      ///< Stay or leave.
+    must_stay, ///< Leaving would raise the part too fast.
+    must_leave ///< Staying would lower it too fast.
+};
+
+/// Compares the part in the last window with the part in the one before, at every request. As each
+/// entry keeps the bound for its own requests, it holds for the sum over the entries of a region.
+class region_share
+{
+public:
+    explicit region_share(region_share_options options) : options_(options) {}
+
+    share_verdict judge(time_point now);
+    void note(bool left_region, time_point now);
+
+private:
+    static constexpr std::size_t slices_per_window = 20;
+
+    struct slice
+    {
+        std::int64_t number = -1;
+        unsigned requests = 0;
+        unsigned left = 0;
+    };
+
+    struct window_sum
+    {
+        unsigned requests = 0;
+        unsigned left = 0;
+    };
+
+    std::int64_t slice_number(time_point now) const;
+    window_sum sum(std::int64_t newest) const;
+
+    region_share_options options_;
+    std::array<slice, 2 * slices_per_window> slices_{};
+};
+
+} // namespace burdockstep
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -162,7 +162,40 @@
     friend bool operator==(state_answer const&, state_answer const&) = default;
 };
 
+/// Requests that the sender has under way at one upstream.
+struct slot_count_entry
+{
+    std::uint32_t upstream = 0; ///< Hash of its name.
+    std::uint16_t under_way = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(upstream, under_way);
+    }
+
+    friend bool operator==(slot_count_entry const&, slot_count_entry const&) = default;
+};
+
+/// What an entry has under way, to the entries that share its upstreams.
+struct slot_report
+{
+    name_text instance;
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0; ///< Grows with each report of an incarnation.
+    bool whole = false;       ///< Upstreams that aren't named have nothing under way.
+    bounded_list<slot_count_entry, 160> counts;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(instance, incarnation, number, whole, counts);
+    }
+
+    friend bool operator==(slot_report const&, slot_report const&) = default;
+};
+
 /// Any message. The index of the alternative is the type byte on the wire.
-using message = std::variant<heartbeat, pool_report, state_request, state_answer>;
+using message = std::variant<heartbeat, pool_report, state_request, state_answer, slot_report>;
 
 } // namespace burdockstep::wire
--- /dev/null
+++ b/services/burdockstep_gateway/lookups/lookups_task.hpp
@@ -0,0 +1,42 @@
+/// Look-ups, the platform's readiness checks, and the metrics page.
+#pragma once
+
+#include "services/burdockstep_gateway/task.hpp"
+
+#include "libraries/forwarding/http_dialect.hpp"
+#include "libraries/http1/server.hpp"
+
+#include <string>
+
+namespace burdockstep::gateway {
+
+/// Answers which entries callers should use, from the directory of live entries.
+class lookups_task final : public task
+{
+public:
+    lookups_task(gateway_context& context, http_dialect const& dialect,
+                 std::function<std::string()> metrics);
+
+    std::string_view name() const override { return "lookups"; }
+    result<void> try_start() override;
+    void receive(event const& what) override;
+
+private:
+    void answer_readiness(http1::exchange& each) const;
+    void answer_lookup(http1::exchange& each) const;
+    std::vector<address> entries_for(lookup_question const& question) const;
+    bool is_ready() const { return has_routes_ && has_upstreams_ && !stopping_; }
+
+    gateway_context& context_;
+    http_dialect const& dialect_;
+    std::function<std::string()> metrics_;
+    http1::server readiness_;
+    http1::server lookups_;
+    http1::server metrics_server_;
+    std::vector<member_view> members_;
+    bool has_routes_ = false;
+    bool has_upstreams_ = false;
+    bool stopping_ = false;
+};
+
+} // namespace burdockstep::gateway
--- /dev/null
+++ b/services/burdockstep_gateway/main.cpp
@@ -0,0 +1,113 @@
+/// The gateway: takes callers' plain HTTP requests and sends each to an upstream by its route.
+#include "platform/platform_dialect.hpp"
+#include "platform/platform_store.hpp"
+#include "services/burdockstep_gateway/supervisor.hpp"
+
+#include "libraries/core/file.hpp"
+#include "libraries/core/log.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+
+namespace {
+
+using namespace burdockstep;
+namespace options = boost::program_options;
+
+/// Names the settings file where the command line doesn't.
+constexpr char const* settings_variable = "BURDOCKSTEP_BOOT";
+constexpr int exit_usage = 2;
+
+std::optional<gateway_settings> load_settings(std::string const& path)
+{
+    return handle_failure(
+        [&]() -> result<std::optional<gateway_settings>> {
+            BOOST_LEAF_AUTO(text, read_file(path));
+            gateway_settings_reading reading = read_gateway_settings(path, text);
+            if (!reading.settings)
+                std::cerr << text_of(reading.findings);
+            return std::move(reading.settings);
+        },
+        [](failure const& error) {
+            std::cerr << error.message << "\n";
+            return std::optional<gateway_settings>{};
+        });
+}
+
+int run_gateway(gateway_settings settings, std::string const& path)
+{
+    logger::set_buffered(true);
+    event_loop loop;
+    system_clock_source const clock;
+    random_source random(system_seed());
+    platform::platform_store store(loop, clock, {.at = settings.store});
+    platform::platform_dialect const dialect;
+    gateway::supervisor root(loop, clock, random, settings, path);
+    bool const started = handle_failure(
+        [&]() -> result<bool> {
+            BOOST_LEAF_CHECK(root.try_start(store, dialect));
+            return true;
+        },
+        [](failure const& error) {
+            std::cerr << "burdockstep-gateway: " << error.message << "\n";
+            return false;
+        });
+    int const code = started ? static_cast<int>(root.run()) : exit_usage;
+    logger::flush();
+    // Connections and timers may refer to each other: the system takes them back.
+    std::quick_exit(code);
+}
+
+int run(int argc, char** argv)
+{
+    options::options_description description("Options");
+    description.add_options()("help", "print this help and exit")("version",
+                                                                  "print the version and exit")(
+        "settings", options::value<std::string>(),
+        "settings file (TOML); without it the variable BURDOCKSTEP_BOOT names it")(
+        "check", "check the settings and exit")("verbose", "log debug lines too");
+    options::variables_map values;
+    options::store(options::parse_command_line(argc, argv, description), values);
+    if (values.contains("help")) {
+        std::cout << "burdockstep-gateway [--settings FILE]\n\n" << description;
+        return EXIT_SUCCESS;
+    }
+    if (values.contains("version")) {
+        std::cout << "burdockstep-gateway " BURDOCKSTEP_VERSION "\n";
+        return EXIT_SUCCESS;
+    }
+    char const* const named = std::getenv(settings_variable);
+    std::string const path = values.contains("settings") ? values["settings"].as<std::string>()
+                             : named != nullptr          ? std::string(named)
+                                                         : std::string();
+    if (path.empty()) {
+        std::cerr << "burdockstep-gateway: --settings is missing; name the settings file\n";
+        return exit_usage;
+    }
+    if (values.contains("verbose"))
+        logger::set_threshold(log_level::debug);
+    auto settings = load_settings(path);
+    if (!settings)
+        return exit_usage;
+    if (values.contains("check")) {
+        std::cout << "settings are valid\n";
+        return EXIT_SUCCESS;
+    }
+    return run_gateway(std::move(*settings), path);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        return run(argc, argv);
+    }
+    catch (options::error const& error) {
+        std::cerr << "burdockstep-gateway: " << error.what() << "; see --help\n";
+    }
+    return exit_usage;
+}
--- /dev/null
+++ b/services/burdockstep_gateway/peers/peers_task.hpp
@@ -0,0 +1,47 @@
+/// Heartbeats and reports between entries.
+#pragma once
+
+#include "services/burdockstep_gateway/task.hpp"
+
+#include "libraries/core/log.hpp"
+#include "libraries/membership/leaving_registry.hpp"
+#include "libraries/membership/member_directory.hpp"
+#include "libraries/net/udp_socket.hpp"
+
+namespace burdockstep::gateway {
+
+/// Owns the UDP socket for peers and the member directory.
+class peers_task final : public task
+{
+public:
+    explicit peers_task(gateway_context& context);
+
+    std::string_view name() const override { return "peers"; }
+    result<void> try_start() override;
+    void receive(event const& what) override;
+    void write_metrics(std::string& out) const override;
+
+private:
+    void on_datagram(address const& from, std::string_view bytes);
+    void take(wire::heartbeat const& beat);
+    void send_heartbeats();
+    void send(slot_report_made const& made);
+    void merge(entries_read const& read);
+    void publish_members();
+    void log_changes(std::vector<member_view> const& members);
+
+    gateway_context& context_;
+    logger log_{"peers"};
+    member_directory directory_;
+    udp_socket socket_;
+    timer heartbeat_timer_;
+    leaving_registry leaving_;
+    std::map<instance_name, wire::member_state> logged_;
+    wire::member_state own_state_ = wire::member_state::serving;
+    configuration_version configuration_;
+    std::uint64_t directives_ = 0;
+    std::uint64_t published_changes_ = 0;
+    std::uint64_t dropped_datagrams_ = 0;
+};
+
+} // namespace burdockstep::gateway
