--- a/libraries/discovery/platform_source.hpp
+++ b/libraries/discovery/platform_source.hpp
@@ -32,6 +32,9 @@
     std::shared_ptr<routing_document const> routing; ///< Null: nothing readable was told.
     std::vector<place_name> evacuated;
     std::vector<place_name> taken_back; ///< Only in changes.
+    /// Version at which the newest of these parts was written. The store's own version also grows
+    /// with what others write.
+    store_version changed_at;
 };
 
 /// One answer of the store.
--- a/libraries/http1/stream_socket.cpp
+++ b/libraries/http1/stream_socket.cpp
@@ -23,6 +23,17 @@
     return buffer;
 }
 
+/// The loop reports a reset that follows bytes as an orderly end: the socket tells which it was.
+stream_end end_of(uv_stream_t* stream)
+{
+    uv_os_fd_t descriptor = -1;
+    char byte = 0;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(stream), &descriptor) != 0)
+        return stream_end::reset;
+    ssize_t const read = recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return read == 0 ? stream_end::closed : stream_end::reset;
+}
+
 struct write_request
 {
     uv_write_t request{};
@@ -106,7 +117,7 @@
             }
             if (size < 0) {
                 uv_read_stop(stream);
-                end(read_state, size == UV_EOF ? stream_end::closed : stream_end::reset);
+                end(read_state, size == UV_EOF ? end_of(stream) : stream_end::reset);
                 return;
             }
             read_state->listener->on_bytes(
--- a/services/burdockstep_gateway/discovery/discovery_task.cpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.cpp
@@ -88,6 +88,7 @@
 void discovery_task::read_directives()
 {
     std::uint64_t const call = ++directives_call_;
+    reading_directives_ = true;
     source_.read_directives([this, call](source_answer<operator_directives> const& answer) {
         if (call == directives_call_)
             take_directives(answer, true);
@@ -107,6 +108,7 @@
 void discovery_task::take_directives(source_answer<operator_directives> const& answer, bool whole)
 {
     note_contact(answer.status);
+    reading_directives_ = false;
     if (answer.status == source_status::history_lost) {
         log_.info("history of directives lost; reading them whole",
                   {field("after", directives_version_.get())});
@@ -139,10 +141,21 @@
     if (content.routing)
         adopt(content.routing);
     directives_version_ = std::max(directives_version_, answer.version);
-    context_.post(directives_seen{.version = directives_version_.get()});
+    note_directives_changed(content.changed_at.get());
+    // A peer's change that this answer is newer than was a removal: no row tells of it.
+    if (whole && answer.version.get() >= wanted_directives_)
+        note_directives_changed(wanted_directives_);
     follow_directives();
 }
 
+void discovery_task::note_directives_changed(std::uint64_t changed)
+{
+    if (changed <= directives_changed_)
+        return;
+    directives_changed_ = changed;
+    context_.post(directives_seen{.version = changed});
+}
+
 void discovery_task::adopt(std::shared_ptr<routing_document const> document)
 {
     if (document_ && document->version <= document_->version)
@@ -267,7 +280,8 @@
 {
     time_point const now = context_.clock.now();
     if (auto const* const heard = std::get_if<peer_directives_heard>(&what)) {
-        if (heard->version > directives_version_.get() && reachable_)
+        wanted_directives_ = std::max(wanted_directives_, heard->version);
+        if (wanted_directives_ > directives_changed_ && reachable_ && !reading_directives_)
             read_directives();
     }
     else if (auto const* const leaving = std::get_if<upstream_leaving>(&what)) {
--- a/services/burdockstep_gateway/discovery/discovery_task.hpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.hpp
@@ -24,6 +24,7 @@
 
 private:
     void read_directives();
+    void note_directives_changed(std::uint64_t changed);
     void follow_directives();
     void take_directives(source_answer<operator_directives> const& answer, bool whole);
     void adopt(std::shared_ptr<routing_document const> document);
@@ -48,12 +49,16 @@
     timer own_entry_timer_;
     std::shared_ptr<routing_document const> document_;
     std::set<place_name> evacuated_;
-    store_version directives_version_;
+    store_version directives_version_; ///< The store's, up to which changes are known.
+    /// When the directives in force were last changed, as entries tell one another.
+    std::uint64_t directives_changed_ = 0;
+    std::uint64_t wanted_directives_ = 0; ///< A peer has seen this change.
     store_version registrations_version_;
     store_version entries_version_;
     std::uint64_t published_changes_ = 0;
     /// Number of the directives' call under way: answers to earlier ones are dropped.
     std::uint64_t directives_call_ = 0;
+    bool reading_directives_ = false; ///< A whole read is under way.
     bool registrations_known_ = false;
     bool reading_registrations_ = false;
     bool reachable_ = false;
