--- a/libraries/core/log.cpp
+++ b/libraries/core/log.cpp
@@ -32,8 +32,8 @@
             return;
         }
         if (dropped > 0)
-            bytes += fmt::format("lines dropped, as nobody read them: {}\n",
-                                 std::exchange(dropped, 0));
+            bytes +=
+                fmt::format("lines dropped, as nobody read them: {}\n", std::exchange(dropped, 0));
         bytes += line;
     }
 
--- a/libraries/discovery/platform_source.hpp
+++ b/libraries/discovery/platform_source.hpp
@@ -61,12 +61,10 @@
     virtual void follow_directives(store_version after, duration patience,
                                    source_handler<operator_directives> handler) = 0;
     /// Reads all registrations.
-    virtual void
-    read_registrations(source_handler<std::vector<registration_change>> handler) = 0;
+    virtual void read_registrations(source_handler<std::vector<registration_change>> handler) = 0;
     /// Reads the changes of registrations after a version, without waiting.
-    virtual void
-    follow_registrations(store_version after,
-                         source_handler<std::vector<registration_change>> handler) = 0;
+    virtual void follow_registrations(store_version after,
+                                      source_handler<std::vector<registration_change>> handler) = 0;
     /// Reads the entries that have told of themselves.
     virtual void read_entries(source_handler<std::vector<listed_member>> handler) = 0;
     /// Waits at most `patience` for a change of entries. The content names all that changed; one
@@ -74,7 +72,8 @@
     virtual void follow_entries(store_version after, duration patience,
                                 source_handler<std::vector<listed_member>> handler) = 0;
     /// Tells of this entry. Repeating it does no harm.
-    virtual void write_entry(listed_member const& self, std::function<void(source_status)> handler) = 0;
+    virtual void write_entry(listed_member const& self,
+                             std::function<void(source_status)> handler) = 0;
 };
 
 } // namespace burdockstep
--- a/libraries/discovery/upstream_registration.hpp
+++ b/libraries/discovery/upstream_registration.hpp
@@ -27,9 +27,9 @@
     place_name place;
     slot_count slots;
     upstream_state state = upstream_state::ready;
-    duration cold_left{};          ///< How much longer it is cold, when it wrote this.
-    std::int64_t heartbeat = 0;    ///< Grows with each write of one incarnation.
-    std::int64_t started_ms = 0;   ///< Wall clock of its start; 0 where it isn't told.
+    duration cold_left{};        ///< How much longer it is cold, when it wrote this.
+    std::int64_t heartbeat = 0;  ///< Grows with each write of one incarnation.
+    std::int64_t started_ms = 0; ///< Wall clock of its start; 0 where it isn't told.
 
     friend bool operator==(upstream_registration const&, upstream_registration const&) = default;
 };
--- a/libraries/discovery/upstream_registry.cpp
+++ b/libraries/discovery/upstream_registry.cpp
@@ -107,8 +107,6 @@
 
 void upstream_registry::judge_missing(time_point now)
 {
-    if (now < absences_believed_from_)
-        return;
     std::map<service_name, bool> lost_together;
     for (auto const& [name, since] : missing_) {
         service_name const& service = upstreams_.at(name).registration.service;
@@ -120,9 +118,9 @@
     }
     std::erase_if(missing_, [&](auto const& entry) {
         known_upstream& known = upstreams_.at(entry.first);
-        bool const spared = lost_together[known.registration.service] &&
-                            now - entry.second < options_.mass_loss_grace;
-        if (spared)
+        bool const in_grace =
+            now - entry.second < options_.mass_loss_grace || now < absences_believed_from_;
+        if (lost_together[known.registration.service] && in_grace)
             return false;
         known.removed = true;
         known.removed_at = now;
--- a/libraries/discovery/upstream_registry.hpp
+++ b/libraries/discovery/upstream_registry.hpp
@@ -17,8 +17,8 @@
     region_name region;
     time_point first_seen;
     time_point cold_until;
-    bool draining = false;  ///< By its own word or a peer's. It stays so for this incarnation.
-    bool removed = false;   ///< Its entry has gone.
+    bool draining = false; ///< By its own word or a peer's. It stays so for this incarnation.
+    bool removed = false;  ///< Its entry has gone.
     time_point removed_at;
     bool evacuated = false; ///< Its place gets nothing.
 
@@ -29,7 +29,7 @@
 /// Limits of the registry.
 struct registry_options
 {
-    /// After the store was away, entries that have gone are believed after this time: upstreams
+    /// After the store was away, the loss of many entries is believed after this time: upstreams
     /// that live write theirs again within two seconds of the store's return.
     duration return_grace = std::chrono::milliseconds(2'200);
     /// A removed upstream is forgotten after this time: what is still under way has ended.
--- a/libraries/forwarding/admission.cpp
+++ b/libraries/forwarding/admission.cpp
@@ -34,8 +34,7 @@
     if (which.time_left <= options_.caller_delay)
         return std::nullopt;
     duration const in_time = which.objective - which.elapsed - needed;
-    duration const hopeless =
-        scaled(which.objective, options_.hopeless_hold_part) - which.elapsed;
+    duration const hopeless = scaled(which.objective, options_.hopeless_hold_part) - which.elapsed;
     duration const longest = scaled(which.objective, options_.longest_hold_part) - which.elapsed;
     duration const hold = std::min(std::max(in_time, hopeless), longest);
     if (hold <= duration::zero())
@@ -50,9 +49,8 @@
 
 duration admission::retry_after(duration time_left)
 {
-    double const spread = std::chrono::duration<double>(options_.longest_return -
-                                                        options_.shortest_return)
-                              .count();
+    double const spread =
+        std::chrono::duration<double>(options_.longest_return - options_.shortest_return).count();
     duration const wanted =
         options_.shortest_return + std::chrono::duration_cast<duration>(
                                        std::chrono::duration<double>(spread * random_.unit()));
--- a/libraries/forwarding/admission.hpp
+++ b/libraries/forwarding/admission.hpp
@@ -50,8 +50,7 @@
 class admission
 {
 public:
-    admission(admission_options options, random_source& random)
-        : options_(options), random_(random)
+    admission(admission_options options, random_source& random) : options_(options), random_(random)
     {}
 
     /// How much longer the request may wait for a slot; nothing: refuse it now.
--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -19,9 +19,8 @@
 
 } // namespace
 
-forwarding_engine::commands forwarding_engine::take_send_end(request_id id,
-                                                             send_end_report const& report,
-                                                             time_point now)
+forwarding_engine::commands
+forwarding_engine::take_send_end(request_id id, send_end_report const& report, time_point now)
 {
     commands out;
     auto const found = requests_.find(id);
@@ -80,8 +79,8 @@
 {
     if (which.sends >= which.which->most_upstreams)
         return false;
-    duration const needed = std::chrono::duration_cast<duration>(
-        expected_work(which) * least_time_for_repeat);
+    duration const needed =
+        std::chrono::duration_cast<duration>(expected_work(which) * least_time_for_repeat);
     if (which.limit - now < needed)
         return false;
     if (pools_.at(which.service).retries.try_spend(options_.retries, now))
@@ -90,8 +89,8 @@
     return false;
 }
 
-void forwarding_engine::take_not_run(pending& which, not_run_evidence const& evidence,
-                                     refusal why, time_point now, commands& out)
+void forwarding_engine::take_not_run(pending& which, not_run_evidence const& evidence, refusal why,
+                                     time_point now, commands& out)
 {
     if (which.timed_out) {
         finish(which, now);
@@ -127,8 +126,8 @@
 {
     refuse_request answer{.id = which.arrival.id, .why = why, .retry_after = {}};
     if (auto* const waiting = std::get_if<waiting_request>(&which.stage)) {
-        auto const reason = why == refusal::no_room ? refusal_reason::no_room
-                                                    : refusal_reason::no_upstream;
+        auto const reason =
+            why == refusal::no_room ? refusal_reason::no_room : refusal_reason::no_upstream;
         refusal_outcome const outcome = std::move(*waiting).refuse(reason);
         bool const not_run = std::holds_alternative<not_run_outcome>(outcome);
         answer.status = not_run ? status_unavailable : status_bad_gateway;
@@ -160,10 +159,8 @@
         // deadline itself, which keeps the connection.
         which.timed_out = true;
         ++counters_.failed;
-        out.emplace_back(refuse_request{.id = id,
-                                        .status = status_timeout,
-                                        .why = refusal::answer_timeout,
-                                        .retry_after = {}});
+        out.emplace_back(refuse_request{
+            .id = id, .status = status_timeout, .why = refusal::answer_timeout, .retry_after = {}});
         schedule(which, now + options_.deadline_grace + options_.usual_region_delay * 3);
         return;
     }
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -86,8 +86,7 @@
             how_far = distance::same_place;
         else if (known.region == options_.region)
             how_far = distance::same_region;
-        auto const [position, is_new] =
-            tracks_.try_emplace(name, options_.tracks, known, how_far);
+        auto const [position, is_new] = tracks_.try_emplace(name, options_.tracks, known, how_far);
         if (!is_new)
             position->second.update(known);
         if (!known.removed)
@@ -181,13 +180,17 @@
     }
     duration const work = expected_work(which);
     auto const entries = static_cast<double>(std::max<std::size_t>(region_entries_.size(), 1));
-    admission_case const weighed{
-        .elapsed = now - which.arrived,
-        .time_left = which.limit - now,
-        .objective = which.which->latency_objective,
-        .expected_work = work,
-        .requests_ahead = static_cast<double>(waiting_[which.service].size()),
-        .slots_per_s = slots / std::chrono::duration<double>(work).count() / entries};
+    auto const& waiting = waiting_[which.service];
+    auto const ahead = std::count_if(waiting.begin(), waiting.end(), [&](request_id each) {
+        return requests_.at(each).which->rank <= which.which->rank;
+    });
+    admission_case const weighed{.elapsed = now - which.arrived,
+                                 .time_left = which.limit - now,
+                                 .objective = which.which->latency_objective,
+                                 .expected_work = work,
+                                 .requests_ahead = static_cast<double>(ahead),
+                                 .slots_per_s =
+                                     slots / std::chrono::duration<double>(work).count() / entries};
     std::optional<duration> const hold = admission_.hold_for(weighed);
     if (!hold) {
         end(which, refusal::no_room, now, out);
@@ -218,9 +221,8 @@
             continue;
         if (now >= still->second.hold_until || now >= still->second.limit) {
             std::erase(waiting_[service], id);
-            end(still->second, now >= still->second.limit ? refusal::deadline_passed
-                                                          : refusal::no_room,
-                now, out);
+            end(still->second,
+                now >= still->second.limit ? refusal::deadline_passed : refusal::no_room, now, out);
             continue;
         }
         schedule(still->second, std::min(still->second.hold_until, now + waiting_interval));
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -67,7 +67,7 @@
     service_name service;
     upstream_name upstream; ///< Of the last send.
     unsigned sends = 0;
-    duration held{};        ///< Before the first send.
+    duration held{}; ///< Before the first send.
     duration total{};
     configuration_version version;
 };
@@ -167,8 +167,8 @@
     double free_slots(service_name const& service, time_point now) const;
 
     // Endings (forwarding_endings.cpp).
-    void take_not_run(pending& which, not_run_evidence const& evidence, refusal why,
-                      time_point now, commands& out);
+    void take_not_run(pending& which, not_run_evidence const& evidence, refusal why, time_point now,
+                      commands& out);
     void take_lost(pending& which, time_point now, commands& out);
     bool may_send_again(pending const& which, time_point now);
     void wait_again(pending& which, time_point now, commands& out);
--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -31,8 +31,8 @@
 
 double unit_hash(std::uint64_t object, upstream_key key)
 {
-    std::uint64_t const mixed = hash_of(
-        std::string_view(reinterpret_cast<char const*>(&object), sizeof object), key.get());
+    std::uint64_t const mixed =
+        hash_of(std::string_view(reinterpret_cast<char const*>(&object), sizeof object), key.get());
     return static_cast<double>(mixed >> 11U) * 0x1.0p-53;
 }
 
@@ -59,11 +59,11 @@
         return;
     // The shortest one seen lately: a busy upstream accepts late.
     bool const in_region = found->second.how_far() == distance::same_region;
-    duration& kept = in_region ? place_delay_
-                               : region_delays_
-                                     .try_emplace(found->second.known().region,
-                                                  options_.usual_region_delay)
-                                     .first->second;
+    duration& kept =
+        in_region
+            ? place_delay_
+            : region_delays_.try_emplace(found->second.known().region, options_.usual_region_delay)
+                  .first->second;
     kept = measured < kept ? measured : kept + (measured - kept) / 16;
 }
 
@@ -90,8 +90,8 @@
     for (auto const& [name, region] : entries_) {
         bool const near = region == track.known().region;
         std::uint64_t const hash = hash_of(name.get(), track.key().get());
-        bool const better = best == nullptr || (near && !best_near) ||
-                            (near == best_near && hash > best_hash);
+        bool const better =
+            best == nullptr || (near && !best_near) || (near == best_near && hash > best_hash);
         if (!better)
             continue;
         best = &name;
--- a/libraries/forwarding/upstream_track.cpp
+++ b/libraries/forwarding/upstream_track.cpp
@@ -50,9 +50,9 @@
     note_cancelled();
     if (report.load)
         note_load(*report.load, now);
-    bool const failed = report.result == send_result::broken ||
-                        (report.result == send_result::answered &&
-                         report.status >= first_failure_status);
+    bool const failed =
+        report.result == send_result::broken ||
+        (report.result == send_result::answered && report.status >= first_failure_status);
     failure_rate_ += options_.failure_weight * ((failed ? 1.0 : 0.0) - failure_rate_);
     switch (report.result) {
     case send_result::answered:
@@ -114,8 +114,8 @@
         return false;
     if (cold_rate <= 0 || !is_cold(now))
         return true;
-    cold_room_ = std::min(1.0, cold_room_ + options_.cold_part * cold_rate *
-                                                seconds(now - cold_room_at_));
+    cold_room_ =
+        std::min(1.0, cold_room_ + options_.cold_part * cold_rate * seconds(now - cold_room_at_));
     cold_room_at_ = now;
     return is_cold_sender && cold_room_ >= 1.0;
 }
--- a/libraries/http1/client.cpp
+++ b/libraries/http1/client.cpp
@@ -16,8 +16,7 @@
 
 } // namespace
 
-struct client::state final : client_connection::owner,
-                             std::enable_shared_from_this<client::state>
+struct client::state final : client_connection::owner, std::enable_shared_from_this<client::state>
 {
     using owned_connection = std::unique_ptr<client_connection>;
 
@@ -56,9 +55,8 @@
     void take_idle_end(client_connection& connection) override
     {
         auto& kept = idle_[connection.to()];
-        auto const found = std::find_if(kept.begin(), kept.end(), [&](auto const& each) {
-            return each.get() == &connection;
-        });
+        auto const found = std::find_if(
+            kept.begin(), kept.end(), [&](auto const& each) { return each.get() == &connection; });
         if (found == kept.end())
             return;
         destroy_later(std::move(*found));
@@ -121,8 +119,8 @@
         ++state_->counters_.connections_opened;
     }
     client_connection& started = *connection;
-    state_->calls_.emplace(number, state::call{.connection = std::move(connection),
-                                               .handler = std::move(handler)});
+    state_->calls_.emplace(
+        number, state::call{.connection = std::move(connection), .handler = std::move(handler)});
     started.start(number, std::move(options));
     return number;
 }
--- a/libraries/http1/client.hpp
+++ b/libraries/http1/client.hpp
@@ -28,6 +28,7 @@
 struct call_result
 {
     call_end end = call_end::broken;
+    address to;
     message_head head; ///< Of a complete answer.
     std::string body;
     bool on_kept_connection = false;
--- a/libraries/http1/client_connection.cpp
+++ b/libraries/http1/client_connection.cpp
@@ -32,6 +32,7 @@
     call_ = call;
     options_ = std::move(options);
     result_ = {};
+    result_.to = to_;
     result_.on_kept_connection = used_before_;
     if (connected_) {
         send_request();
@@ -81,8 +82,11 @@
         return;
     }
     watch_for_answer();
-    if (!reader_.read(bytes) && options_)
+    bool const readable = reader_.read(bytes);
+    if (!readable && options_)
         finish(call_end::broken);
+    else if (!options_ && (!readable || got_unasked_))
+        owner_.take_idle_end(*this);
 }
 
 bool client_connection::is_own_answer(message_head const& head) const
@@ -97,6 +101,7 @@
 void client_connection::on_head(message_head head)
 {
     // A head without a request is an answer that nobody asked for.
+    got_unasked_ = !options_;
     skipping_ = !options_ || head.status < first_final_status || !is_own_answer(head);
     if (skipping_) {
         if (options_ && head.status >= first_final_status) {
--- a/libraries/http1/client_connection.hpp
+++ b/libraries/http1/client_connection.hpp
@@ -69,6 +69,7 @@
     bool used_before_ = false;
     bool skipping_ = false; ///< The answer that is being read belongs to another request.
     bool has_skipped_ = false;
+    bool got_unasked_ = false; ///< An answer began that no request asked for.
     bool retired_ = false;
 };
 
--- a/libraries/http1/message_reader.cpp
+++ b/libraries/http1/message_reader.cpp
@@ -12,6 +12,8 @@
 /// What the parser's callbacks return to go on, and to take no body.
 constexpr int read_on = 0;
 constexpr int skip_body = 1;
+/// What a header callback returns to end reading.
+constexpr int reject = -1;
 
 message_reader& reader_of(http_parser* parser)
 {
@@ -45,28 +47,32 @@
             message_reader& reader = reader_of(parser);
             reader.head_ = {};
             reader.inside_message_ = true;
-            reader.inside_head_ = true;
             reader.reading_value_ = false;
             return read_on;
         };
         made.on_url = [](http_parser* parser, char const* at, std::size_t size) {
             reader_of(parser).head_.target.append(at, size);
-            return read_on;
+            return reader_of(parser).count_head_bytes(size);
         };
         made.on_header_field = [](http_parser* parser, char const* at, std::size_t size) {
             message_reader& reader = reader_of(parser);
             if (reader.reading_value_)
                 reader.finish_header();
             reader.header_name_.append(at, size);
-            return read_on;
+            // Space before the colon is read by some as another name, by others as none.
+            bool const has_space =
+                std::string_view(at, size).find_first_of(" \t") != std::string_view::npos;
+            return has_space ? reject : reader.count_head_bytes(size);
         };
         made.on_header_value = [](http_parser* parser, char const* at, std::size_t size) {
             message_reader& reader = reader_of(parser);
             reader.reading_value_ = true;
             reader.header_value_.append(at, size);
-            return read_on;
+            return reader.count_head_bytes(size);
+        };
+        made.on_headers_complete = [](http_parser* parser) {
+            return reader_of(parser).take_head();
         };
-        made.on_headers_complete = [](http_parser* parser) { return reader_of(parser).take_head(); };
         made.on_body = [](http_parser* parser, char const* at, std::size_t size) {
             reader_of(parser).listener_.on_body(std::string_view(at, size));
             return read_on;
@@ -74,7 +80,6 @@
         made.on_message_complete = [](http_parser* parser) {
             message_reader& reader = reader_of(parser);
             reader.inside_message_ = false;
-            reader.head_bytes_ = 0;
             reader.listener_.on_message_end();
             if (reader.stopped_)
                 http_parser_pause(parser, 1);
@@ -94,10 +99,19 @@
                       std::exchange(header_value_, {}));
 }
 
+int message_reader::count_head_bytes(std::size_t size)
+{
+    head_bytes_ += size;
+    if (head_bytes_ <= largest_head_bytes_)
+        return read_on;
+    fault_ = read_fault::head_too_large;
+    return reject;
+}
+
 int message_reader::take_head()
 {
     finish_header();
-    inside_head_ = false;
+    head_bytes_ = 0;
     // Upgrades aren't offered: what follows is read as an ordinary body.
     parser_.upgrade = 0;
     if (role_ == message_role::requests)
@@ -117,15 +131,11 @@
         return false;
     if (stopped_)
         return true;
-    bool const began_in_head = inside_head_ || !inside_message_;
     std::size_t const taken =
         http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
-    if (inside_head_) {
-        head_bytes_ = began_in_head ? head_bytes_ + bytes.size() : bytes.size();
-        if (head_bytes_ > largest_head_bytes_)
-            fault_ = read_fault::head_too_large;
-    }
     auto const error = HTTP_PARSER_ERRNO(&parser_);
+    if (fault_ != read_fault::none)
+        return false;
     if (error == HPE_HEADER_OVERFLOW)
         fault_ = read_fault::head_too_large;
     else if (error != HPE_OK && error != HPE_PAUSED)
--- a/libraries/http1/message_reader.hpp
+++ b/libraries/http1/message_reader.hpp
@@ -73,6 +73,7 @@
 private:
     static http_parser_settings const& callbacks();
     void finish_header();
+    int count_head_bytes(std::size_t size);
     int take_head();
 
     message_listener& listener_;
@@ -85,7 +86,6 @@
     std::string header_value_;
     bool reading_value_ = false;
     bool inside_message_ = false;
-    bool inside_head_ = false;
     bool stopped_ = false;
     bool bodiless_ = false;
     read_fault fault_ = read_fault::none;
--- a/libraries/http1/server_connection.cpp
+++ b/libraries/http1/server_connection.cpp
@@ -81,10 +81,13 @@
     last_activity_ = clock_.now();
     if (!reader_.is_inside_message())
         head_began_ = last_activity_;
-    if (refusal_status_ != 0 || reader_.read(bytes) || finished_)
+    if (refusal_status_ != 0)
         return;
-    refuse_reading(reader_.fault() == read_fault::head_too_large ? 431 : 400);
-    write_ready_answers();
+    bool const readable = reader_.read(bytes);
+    if (!readable && refusal_status_ == 0)
+        refuse_reading(reader_.fault() == read_fault::head_too_large ? 431 : 400);
+    if (refusal_status_ != 0)
+        write_ready_answers();
 }
 
 void server_connection::refuse_reading(int status)
--- a/libraries/http1/stream_socket.cpp
+++ b/libraries/http1/stream_socket.cpp
@@ -45,8 +45,8 @@
     uv_os_fd_t descriptor = -1;
     if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &descriptor) != 0)
         return;
-    auto const milliseconds = static_cast<unsigned>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
+    auto const milliseconds =
+        static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
     setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
 }
 
@@ -130,19 +130,19 @@
     state_->unacknowledged_limit = unacknowledged_limit;
     state_->connecting.data = state_;
     sockaddr_in const target = to.to_sockaddr();
-    int const started = uv_tcp_connect(
-        &state_->connecting, &state_->handle, reinterpret_cast<sockaddr const*>(&target),
-        [](uv_connect_t* request, int status) {
-            auto* const self = static_cast<state*>(request->data);
-            if (self->listener == nullptr || self->closing)
-                return;
-            if (status != 0) {
-                end(self, stream_end::reset);
-                return;
-            }
-            start_reading(*self);
-            self->listener->on_connected();
-        });
+    int const started = uv_tcp_connect(&state_->connecting, &state_->handle,
+                                       reinterpret_cast<sockaddr const*>(&target),
+                                       [](uv_connect_t* request, int status) {
+                                           auto* const self = static_cast<state*>(request->data);
+                                           if (self->listener == nullptr || self->closing)
+                                               return;
+                                           if (status != 0) {
+                                               end(self, stream_end::reset);
+                                               return;
+                                           }
+                                           start_reading(*self);
+                                           self->listener->on_connected();
+                                       });
     if (started != 0)
         end(state_, stream_end::reset);
 }
@@ -192,12 +192,12 @@
     state_->listener = nullptr;
     state_->shutting_down.data = state_;
     uv_tcp_keepalive(&state_->handle, 1, keep_alive_probe_s);
-    int const started = uv_shutdown(
-        &state_->shutting_down, reinterpret_cast<uv_stream_t*>(&state_->handle),
-        [](uv_shutdown_t* request, int status) {
-            if (status != 0)
-                static_cast<state*>(request->data)->close();
-        });
+    int const started =
+        uv_shutdown(&state_->shutting_down, reinterpret_cast<uv_stream_t*>(&state_->handle),
+                    [](uv_shutdown_t* request, int status) {
+                        if (status != 0)
+                            static_cast<state*>(request->data)->close();
+                    });
     if (started != 0)
         state_->close();
 }
--- a/libraries/http1/stream_socket.hpp
+++ b/libraries/http1/stream_socket.hpp
@@ -40,8 +40,8 @@
     stream_socket(stream_socket const&) = delete;
     stream_socket& operator=(stream_socket const&) = delete;
 
-    /// Starts to connect; `on_connected` or `on_stream_end` follows, the latter perhaps from within.
-    /// `unacknowledged_limit` ends a connection whose bytes nobody acknowledges.
+    /// Starts to connect; `on_connected` or `on_stream_end` follows, the latter perhaps from
+    /// within. `unacknowledged_limit` ends a connection whose bytes nobody acknowledges.
     void connect(address const& to, duration unacknowledged_limit);
     /// Accepts from a listening handle. Returns false when there is nothing to accept.
     bool accept(uv_stream_t* listening, duration unacknowledged_limit);
--- a/libraries/net/event_loop.cpp
+++ b/libraries/net/event_loop.cpp
@@ -27,9 +27,8 @@
     uv_idle_init(&loop_, &busy_);
     uv_check_init(&loop_, &check_);
     check_.data = this;
-    uv_check_start(&check_, [](uv_check_t* handle) {
-        static_cast<event_loop*>(handle->data)->run_posted();
-    });
+    uv_check_start(
+        &check_, [](uv_check_t* handle) { static_cast<event_loop*>(handle->data)->run_posted(); });
     // Only open sockets and timers keep the loop running.
     uv_unref(reinterpret_cast<uv_handle_t*>(&check_));
 }
--- a/libraries/net/event_loop.hpp
+++ b/libraries/net/event_loop.hpp
@@ -33,7 +33,7 @@
     void run_posted();
 
     uv_loop_t loop_{};
-    uv_idle_t busy_{};  ///< Active while work is posted, so that the loop doesn't wait.
+    uv_idle_t busy_{}; ///< Active while work is posted, so that the loop doesn't wait.
     uv_check_t check_{};
     std::deque<std::function<void()>> posted_;
 };
--- a/libraries/requests/windowed_retry_budget.cpp
+++ b/libraries/requests/windowed_retry_budget.cpp
@@ -29,7 +29,8 @@
         requests += each.requests;
         retries += each.retries;
     }
-    double const own_fixed = terms.fixed / static_cast<double>(std::max<std::size_t>(terms.entries, 1));
+    double const own_fixed =
+        terms.fixed / static_cast<double>(std::max<std::size_t>(terms.entries, 1));
     double const allowed = terms.used_part * (terms.per_request * requests + own_fixed);
     if (retries + 1 > allowed)
         return false;
--- a/libraries/requests/windowed_retry_budget.hpp
+++ b/libraries/requests/windowed_retry_budget.hpp
@@ -11,10 +11,10 @@
 /// The bound over all entries, and this entry's part of its fixed part.
 struct retry_terms
 {
-    double per_request = 0.2;  ///< Further sends allowed for each request.
-    double fixed = 0;          ///< Further sends allowed besides, over all entries.
+    double per_request = 0.2; ///< Further sends allowed for each request.
+    double fixed = 0;         ///< Further sends allowed besides, over all entries.
     duration window = std::chrono::seconds(10);
-    std::size_t entries = 1;   ///< Entries that share the fixed part.
+    std::size_t entries = 1; ///< Entries that share the fixed part.
     /// Part of the allowance that is used: requests are counted in windows that others cut
     /// otherwise, and entries may see each other late.
     double used_part = 0.7;
--- a/libraries/routing/routing_document.hpp
+++ b/libraries/routing/routing_document.hpp
@@ -54,7 +54,7 @@
     service_name name;
     std::string health_path;
     unsigned most_connections = 0;
-    duration cold_start{};         ///< For how long a started upstream is cold.
+    duration cold_start{};          ///< For how long a started upstream is cold.
     double cold_requests_per_s = 0; ///< What a cold upstream bears; 0: no bound.
 };
 
--- a/libraries/steering/region_share.cpp
+++ b/libraries/steering/region_share.cpp
@@ -13,9 +13,8 @@
 {
     window_sum total;
     for (slice const& each : slices_) {
-        bool const inside =
-            each.number <= newest &&
-            each.number > newest - static_cast<std::int64_t>(slices_per_window);
+        bool const inside = each.number <= newest &&
+                            each.number > newest - static_cast<std::int64_t>(slices_per_window);
         if (!inside)
             continue;
         total.requests += each.requests;
@@ -29,9 +28,9 @@
     std::int64_t const newest = slice_number(now);
     window_sum const last = sum(newest);
     window_sum const before = sum(newest - static_cast<std::int64_t>(slices_per_window));
-    double const share_before =
-        before.requests == 0 ? 0.0
-                             : static_cast<double>(before.left) / static_cast<double>(before.requests);
+    double const share_before = before.requests == 0 ? 0.0
+                                                     : static_cast<double>(before.left) /
+                                                           static_cast<double>(before.requests);
     auto const requests = static_cast<double>(last.requests + 1);
     auto const left = static_cast<double>(last.left);
     // Early in a window few requests make large parts: one of them may always leave.
--- a/services/burdockstep_gateway/discovery/discovery_task.cpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.cpp
@@ -17,8 +17,9 @@
 constexpr duration entries_second_read = std::chrono::milliseconds(2'500);
 constexpr duration shortest_retry = std::chrono::milliseconds(250);
 constexpr duration longest_retry_spread = std::chrono::milliseconds(250);
-/// Without an answer of the store for so long, what is known of routes may be out of date.
-constexpr duration contact_lifetime = std::chrono::milliseconds(2'500);
+/// Without an answer of the store for so long, it is taken to be away, and what is known of routes
+/// may be out of date: the configuration is in force everywhere after about this time.
+constexpr duration contact_lifetime = std::chrono::milliseconds(1'500);
 
 } // namespace
 
@@ -60,29 +61,29 @@
 {
     ++calls_;
     time_point const now = context_.clock.now();
-    bool const answered =
-        status == source_status::done || status == source_status::history_lost;
+    bool const answered = status == source_status::done || status == source_status::history_lost;
     if (answered) {
+        duration const away = now - last_contact_;
         last_contact_ = now;
-        if (!reachable_) {
-            log_.info("store answers", {field("after_outage", was_reachable_)});
-            if (was_reachable_) {
-                registry_.note_store_returned(now);
-                registrations_known_ = false;
-            }
-            context_.post(store_reachability{.reachable = true});
-        }
+        if (reachable_)
+            return;
         reachable_ = true;
-        was_reachable_ = true;
+        log_.info("store answers", {field("away_us", was_reachable_ ? away.count() : 0)});
+        if (std::exchange(was_reachable_, true)) {
+            registry_.note_store_returned(now);
+            registrations_known_ = false;
+        }
+        context_.post(store_reachability{.reachable = true});
         return;
     }
-    if (reachable_) {
-        log_.warning("store doesn't answer; what is known stays in force",
-                     {field("turned_away", status == source_status::turned_away)});
-        reachable_ = false;
-    }
-    if (was_reachable_ && now - last_contact_ > contact_lifetime)
-        context_.post(store_reachability{.reachable = false});
+    // A single call may fail on a connection that went silent while others are answered.
+    if (!reachable_ || now - last_contact_ < contact_lifetime)
+        return;
+    reachable_ = false;
+    log_.warning("store doesn't answer; what is known stays in force",
+                 {field("turned_away", status == source_status::turned_away),
+                  field("silent_us", (now - last_contact_).count())});
+    context_.post(store_reachability{.reachable = false});
 }
 
 void discovery_task::read_directives()
@@ -116,9 +117,8 @@
         return;
     }
     if (answer.status != source_status::done) {
-        directives_timer_.start_once(retry_pause(), [this, whole] {
-            whole ? read_directives() : follow_directives();
-        });
+        directives_timer_.start_once(
+            retry_pause(), [this, whole] { whole ? read_directives() : follow_directives(); });
         return;
     }
     operator_directives const& content = answer.content;
@@ -172,8 +172,7 @@
     if (std::exchange(reading_registrations_, true))
         return;
     bool const whole = !registrations_known_;
-    auto const take = [this,
-                       whole](source_answer<std::vector<registration_change>> const& answer) {
+    auto const take = [this, whole](source_answer<std::vector<registration_change>> const& answer) {
         reading_registrations_ = false;
         take_registrations(answer, whole);
     };
@@ -220,9 +219,9 @@
     std::size_t usable = 0;
     for (auto const& [name, known] : registry_.upstreams())
         usable += known.is_usable() ? 1 : 0;
-    log_.info("upstreams changed", {field("known", registry_.upstreams().size()),
-                                    field("usable", usable),
-                                    field("store_version", registrations_version_.get())});
+    log_.info("upstreams changed",
+              {field("known", registry_.upstreams().size()), field("usable", usable),
+               field("store_version", registrations_version_.get())});
     context_.post(upstreams_changed{
         .upstreams = std::make_shared<std::map<upstream_name, known_upstream> const>(
             registry_.upstreams())});
@@ -307,8 +306,7 @@
 void discovery_task::write_metrics(std::string& out) const
 {
     fmt::format_to(std::back_inserter(out), "burdockstep_store_calls_total {}\n", calls_);
-    fmt::format_to(std::back_inserter(out), "burdockstep_store_reachable {}\n",
-                   reachable_ ? 1 : 0);
+    fmt::format_to(std::back_inserter(out), "burdockstep_store_reachable {}\n", reachable_ ? 1 : 0);
     fmt::format_to(std::back_inserter(out), "burdockstep_configuration_version {}\n",
                    document_ ? document_->version.get() : 0);
 }
--- a/services/burdockstep_gateway/lookups/lookups_task.cpp
+++ b/services/burdockstep_gateway/lookups/lookups_task.cpp
@@ -34,16 +34,15 @@
     BOOST_LEAF_ASSIGN(settings.readiness,
                       listen(readiness_, settings.readiness,
                              [this](http1::exchange& each) { answer_readiness(each); }));
-    BOOST_LEAF_ASSIGN(settings.lookups,
-                      listen(lookups_, settings.lookups,
-                             [this](http1::exchange& each) { answer_lookup(each); }));
     BOOST_LEAF_ASSIGN(
-        settings.metrics,
-        listen(metrics_server_, settings.metrics, [this](http1::exchange& each) {
-            each.reply({.status = status_ok,
-                        .headers = {{.name = "content-type", .value = "text/plain"}},
-                        .body = metrics_()});
-        }));
+        settings.lookups,
+        listen(lookups_, settings.lookups, [this](http1::exchange& each) { answer_lookup(each); }));
+    BOOST_LEAF_ASSIGN(settings.metrics,
+                      listen(metrics_server_, settings.metrics, [this](http1::exchange& each) {
+                          each.reply({.status = status_ok,
+                                      .headers = {{.name = "content-type", .value = "text/plain"}},
+                                      .body = metrics_()});
+                      }));
     return {};
 }
 
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -26,10 +26,9 @@
 result<void> peers_task::try_start()
 {
     auto const bind = [&] {
-        return socket_.try_bind(context_.settings.peers,
-                                [this](address const& from, std::string_view bytes) {
-                                    on_datagram(from, bytes);
-                                });
+        return socket_.try_bind(
+            context_.settings.peers,
+            [this](address const& from, std::string_view bytes) { on_datagram(from, bytes); });
     };
     BOOST_LEAF_ASSIGN(context_.settings.peers, bind());
     heartbeat_timer_.start_periodic(membership.heartbeat_interval, [this] { send_heartbeats(); });
@@ -64,8 +63,7 @@
     if (beat.head.version > directives_)
         context_.post(peer_directives_heard{.version = beat.head.version});
     for (wire::leaving_upstream const& each : beat.leaving.get())
-        context_.post(
-            upstream_leaving{.name = upstream_name(each.name.get()), .from_peer = true});
+        context_.post(upstream_leaving{.name = upstream_name(each.name.get()), .from_peer = true});
     publish_members();
 }
 
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -36,8 +36,7 @@
 } // namespace
 
 requests_task::requests_task(gateway_context& context, http_dialect const& dialect)
-    : context_(context), dialect_(dialect),
-      engine_(make_options(context.settings), context.random),
+    : context_(context), dialect_(dialect), engine_(make_options(context.settings), context.random),
       upstreams_(context.loop, context.clock, {}), callers_(context.loop, context.clock, {}),
       tick_timer_(context.loop), upkeep_timer_(context.loop), near_report_timer_(context.loop),
       far_report_timer_(context.loop)
@@ -46,10 +45,9 @@
 result<void> requests_task::try_start()
 {
     auto const listening = [&]() -> result<address> {
-        return callers_.try_listen(context_.settings.callers,
-                                   [this](std::shared_ptr<http1::exchange> each) {
-                                       take_request(std::move(each));
-                                   });
+        return callers_.try_listen(
+            context_.settings.callers,
+            [this](std::shared_ptr<http1::exchange> each) { take_request(std::move(each)); });
     };
     BOOST_LEAF_ASSIGN(context_.settings.callers, listening());
     upkeep_timer_.start_periodic(upkeep_interval, [this] {
@@ -105,9 +103,9 @@
         .answer_id = dialect_.answer_id(request.head),
         .longest_idle = order.longest_idle,
         .connect_timeout = order.connect_timeout};
-    sends_[order.id] = upstreams_.start(
-        std::move(call),
-        [this, id = order.id, upstream = order.upstream](http1::call_result result) {
+    sends_[order.id] =
+        upstreams_.start(std::move(call), [this, id = order.id,
+                                           upstream = order.upstream](http1::call_result result) {
             take_result(id, upstream, std::move(result));
         });
 }
@@ -130,20 +128,21 @@
         report.result = send_result::broken;
         break;
     }
+    if (result.end == http1::call_end::broken && result.on_kept_connection)
+        upstreams_.forget_connections(result.to);
     report.on_kept_connection = result.on_kept_connection;
     report.was_reset = result.connection_was_reset;
     bool const own_word =
         report.result == send_result::answered && report.status < status_unavailable;
     if (!own_word) {
         auto const found = exchanges_.find(id);
-        std::string const caller_id =
-            found == exchanges_.end() ? std::string("-")
-                                      : dialect_.answer_id(found->second->request().head).value;
-        log_.info("send failed", {field("request", caller_id), field("upstream", upstream.get()),
-                                  field("result", static_cast<int>(report.result)),
-                                  field("status", report.status),
-                                  field("kept", report.on_kept_connection),
-                                  field("reset", report.was_reset)});
+        std::string const caller_id = found == exchanges_.end()
+                                          ? std::string("-")
+                                          : dialect_.answer_id(found->second->request().head).value;
+        log_.info("send failed",
+                  {field("request", caller_id), field("upstream", upstream.get()),
+                   field("result", static_cast<int>(report.result)), field("status", report.status),
+                   field("kept", report.on_kept_connection), field("reset", report.was_reset)});
     }
     answer_ = std::move(result);
     carry_out(engine_.take_send_end(id, report, context_.clock.now()));
@@ -182,8 +181,7 @@
         return;
     auto const exchange = std::move(found->second);
     exchanges_.erase(found);
-    exchange->reply(
-        dialect_.own_answer(exchange->request().head, order.status, order.retry_after));
+    exchange->reply(dialect_.own_answer(exchange->request().head, order.status, order.retry_after));
     log_end(order.id, name_of(order.why), order.status);
 }
 
--- a/services/burdockstep_gateway/supervisor.cpp
+++ b/services/burdockstep_gateway/supervisor.cpp
@@ -38,7 +38,8 @@
 
 std::int64_t change_time_ns(std::string const& path)
 {
-    struct stat status{};
+    struct stat status
+    {};
     if (stat(path.c_str(), &status) != 0)
         return 0;
     constexpr std::int64_t ns_per_s = 1'000'000'000;
@@ -98,18 +99,15 @@
     uv_signal_start(&interrupt_, stop, SIGINT);
     uv_signal_start(
         &hang_up_,
-        [](uv_signal_t* signal, int) {
-            static_cast<supervisor*>(signal->data)->reload("signal");
-        },
+        [](uv_signal_t* signal, int) { static_cast<supervisor*>(signal->data)->reload("signal"); },
         SIGHUP);
     settings_changed_ns_ = change_time_ns(settings_path_);
     last_looked_at_ = since_boot();
     look_after_timer_.start_periodic(look_after_interval, [this] { look_after(); });
-    log_.info("started", {field("instance", settings_.instance.get()),
-                          field("place", settings_.place.get()),
-                          field("incarnation", context_.run.incarnation.get()),
-                          field("callers", settings_.callers.text()),
-                          field("peers", settings_.peers.text())});
+    log_.info("started",
+              {field("instance", settings_.instance.get()), field("place", settings_.place.get()),
+               field("incarnation", context_.run.incarnation.get()),
+               field("callers", settings_.callers.text()), field("peers", settings_.peers.text())});
     return {};
 }
 
--- /dev/null
+++ b/tests/unit/http1_server_test.cpp
@@ -0,0 +1,169 @@
+#include "libraries/http1/server.hpp"
+
+#include "tests/fakes/harness.hpp"
+#include "tests/fakes/raw_sockets.hpp"
+
+#include <functional>
+#include <memory>
+#include <thread>
+#include <vector>
+
+using namespace burdockstep;
+using namespace burdockstep::testing;
+
+TEST_GROUP(http1_server)
+{
+    event_loop loop;
+    system_clock_source clock;
+    std::unique_ptr<http1::server> server = std::make_unique<http1::server>(
+        loop, clock, http1::server_limits{.head_bytes = 1'024, .body_bytes = 64});
+    std::vector<std::shared_ptr<http1::exchange>> seen;
+    address at;
+
+    /// Listens; `handler` gets each request, which is also kept in `seen`.
+    void listen(std::function<void(http1::exchange&)> handler)
+    {
+        auto const bound = server->try_listen(
+            loopback(), [this, handler](std::shared_ptr<http1::exchange> const& each) {
+                seen.push_back(each);
+                handler(*each);
+            });
+        CHECK(static_cast<bool>(bound));
+        at = bound.value();
+    }
+
+    std::string exchange_bytes(std::string const& bytes)
+    {
+        std::string answer;
+        bool done = false;
+        std::thread caller([&] {
+            answer = exchange_raw(at, bytes);
+            done = true;
+        });
+        timer poll(loop);
+        poll.start_periodic(ms(5), [&] {
+            if (done)
+                loop.stop();
+        });
+        loop.run();
+        caller.join();
+        return answer;
+    }
+
+    void teardown() override
+    {
+        seen.clear();
+        server.reset();
+    }
+};
+
+TEST(http1_server, pipelined_requests_run_side_by_side_and_are_answered_in_order)
+{
+    listen([this](http1::exchange&) {
+        if (seen.size() < 3)
+            return;
+        seen[2]->reply({.status = 200, .headers = {}, .body = "third"});
+        seen[0]->reply({.status = 200, .headers = {}, .body = "first"});
+        seen[1]->reply({.status = 200, .headers = {}, .body = "second"});
+    });
+    std::string const answers =
+        exchange_bytes("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+                       "GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    auto const first = answers.find("first");
+    auto const second = answers.find("second");
+    auto const third = answers.find("third");
+    CHECK(first < second && second < third && third != std::string::npos);
+    CHECK(answers.find("still open") == std::string::npos);
+}
+
+TEST(http1_server, connection_isn_t_closed_before_requests_that_were_taken_are_answered)
+{
+    listen([this](http1::exchange&) {
+        if (seen.size() < 2)
+            return;
+        server->close_after_answers();
+        seen[0]->reply({.status = 200, .headers = {}, .body = "first"});
+        seen[1]->reply({.status = 200, .headers = {}, .body = "second"});
+    });
+    std::string const answers =
+        exchange_bytes("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    auto const close = answers.find("Connection: close");
+    CHECK(answers.find("first") < close);
+    CHECK(close < answers.find("second"));
+    CHECK(answers.find("second") != std::string::npos);
+}
+
+TEST(http1_server, ambiguous_or_oversized_requests_are_refused_and_the_connection_closed)
+{
+    struct refused_case
+    {
+        std::string bytes;
+        std::string status;
+    };
+    std::vector<refused_case> const cases{
+        {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400"},
+        {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "0\r\n\r\n",
+         "400"},
+        {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+         "400"},
+        {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\nabc", "400"},
+        {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +3\r\n\r\nabc", "400"},
+        {"GET / HTTP/1.1\r\nHost : a\r\n\r\n", "400"},
+        {"no request\r\n\r\n", "400"},
+        {"GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(2'000, 'x') + "\r\n\r\n", "431"},
+        {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 65\r\n\r\n", "413"}};
+    listen(
+        [](http1::exchange& each) { each.reply({.status = 200, .headers = {}, .body = "ran"}); });
+    for (refused_case const& each : cases) {
+        std::string const answer = exchange_bytes(each.bytes);
+        CHECK_TEXT(answer.starts_with("HTTP/1.1 " + each.status), each.bytes.c_str());
+        CHECK_TEXT(answer.find("still open") == std::string::npos, each.bytes.c_str());
+    }
+    LONGS_EQUAL(0, seen.size());
+}
+
+TEST(http1_server, bodies_with_a_length_and_in_chunks_arrive_whole)
+{
+    listen([](http1::exchange& each) {
+        each.reply({.status = 200, .headers = {}, .body = "<" + each.request().body + ">"});
+    });
+    std::string const answers = exchange_bytes(
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+        "2\r\nde\r\n1\r\nf\r\n0\r\n\r\n");
+    CHECK(answers.find("<abc>") != std::string::npos);
+    CHECK(answers.find("<def>") != std::string::npos);
+}
+
+TEST(http1_server, caller_that_closes_while_it_waits_is_noticed)
+{
+    bool gone = false;
+    listen([&gone](http1::exchange& each) { each.on_gone([&gone] { gone = true; }); });
+    // The caller gives up after its own patience and closes.
+    exchange_bytes("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    timer poll(loop);
+    poll.start_once(ms(50), [this] { loop.stop(); });
+    loop.run();
+    CHECK(gone);
+    CHECK(seen.front()->is_gone());
+}
+
+TEST(http1_server, requests_behind_the_pipelining_limit_aren_t_read)
+{
+    server.reset();
+    server =
+        std::make_unique<http1::server>(loop, clock, http1::server_limits{.most_pipelined = 2});
+    listen([this](http1::exchange&) {
+        if (seen.size() < 2)
+            return;
+        for (auto const& each : seen)
+            each->reply({.status = 200, .headers = {}, .body = "x"});
+    });
+    std::string requests;
+    for (int i = 0; i < 5; ++i)
+        requests += "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::string const answers = exchange_bytes(requests);
+    LONGS_EQUAL(2, seen.size());
+    CHECK(answers.find("still open") == std::string::npos);
+}
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -3,15 +3,10 @@
 #include "libraries/net/http_server.hpp"
 
 #include "tests/fakes/harness.hpp"
+#include "tests/fakes/raw_sockets.hpp"
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <array>
 #include <memory>
 #include <string>
-#include <thread>
 
 using namespace burdockstep;
 using namespace burdockstep::testing;
@@ -25,11 +20,6 @@
     return loop;
 }
 
-address loopback()
-{
-    return {.ip = 0x7f000001, .port = 0};
-}
-
 address bound(result<address> const& listening)
 {
     CHECK(static_cast<bool>(listening));
@@ -50,77 +40,6 @@
     CHECK_TEXT(polls_left > 0, "condition not reached");
 }
 
-/// Sends what the other side still takes; a closed connection shows in what is read then.
-void send_all(int connection, std::string_view bytes)
-{
-    while (!bytes.empty()) {
-        ssize_t const sent = ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        if (sent <= 0)
-            return;
-        bytes.remove_prefix(static_cast<std::size_t>(sent));
-    }
-}
-
-/// Accepts one connection, reads a little, and answers raw bytes.
-class raw_server
-{
-public:
-    explicit raw_server(std::string answer) : answer_(std::move(answer))
-    {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in name = loopback().to_sockaddr();
-        CHECK(::bind(listener_, reinterpret_cast<sockaddr*>(&name), sizeof name) == 0);
-        CHECK(listen(listener_, 4) == 0);
-        socklen_t size = sizeof name;
-        getsockname(listener_, reinterpret_cast<sockaddr*>(&name), &size);
-        at_ = address::from_sockaddr(reinterpret_cast<sockaddr const&>(name));
-        thread_ = std::thread([this] { serve(); });
-    }
-
-    ~raw_server()
-    {
-        thread_.join();
-        close(listener_);
-    }
-
-    address const& at() const { return at_; }
-
-private:
-    void serve() const
-    {
-        int const connection = accept(listener_, nullptr, nullptr);
-        std::array<char, 4096> buffer{};
-        if (read(connection, buffer.data(), buffer.size()) > 0)
-            send_all(connection, answer_);
-        close(connection);
-    }
-
-    std::string answer_;
-    int listener_ = -1;
-    address at_;
-    std::thread thread_;
-};
-
-/// Sends raw bytes and returns all that comes back until the other side closes.
-std::string exchange_raw(address const& to, std::string const& bytes)
-{
-    int const connection = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in const name = to.to_sockaddr();
-    if (connect(connection, reinterpret_cast<sockaddr const*>(&name), sizeof name) != 0)
-        return {};
-    timeval const patience{.tv_sec = 2, .tv_usec = 0};
-    setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
-    send_all(connection, bytes);
-    std::string answer;
-    std::array<char, 4096> buffer{};
-    ssize_t size = 0;
-    while ((size = read(connection, buffer.data(), buffer.size())) > 0)
-        answer.append(buffer.data(), static_cast<std::size_t>(size));
-    bool const closed = size == 0;
-    close(connection);
-    return closed ? answer : answer + "<still open>";
-}
-
 /// Collects what a call reports.
 class recording_listener final : public call_listener
 {
