forwarding: objects keep to the upstream that remembers them; scarce slots aren't spent on others

Cause: work on an object that an upstream handled lately takes less than half as long (armor stock-check p50 258 ms with objects spread, 139 ms kept together). Change: rendezvous of object and upstream outweighs the way there; estimates apart for remembered and other objects; with under 30 % of the slots free only the home or a remembering upstream is used; a pace per upstream beside its own word.

--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -40,7 +40,13 @@
         bool const failed = report.status >= 500;
         if (!failed && track != tracks_.end()) {
             duration const taken = now - which.sent_at - round_trip(track->second);
-            pools_.at(service).work.note(std::max(taken, duration(1)));
+            service_pool& pool = pools_.at(service);
+            work_estimate& estimate = which.familiar ? pool.work : pool.unfamiliar_work;
+            if (estimate.typical() > duration::zero()) {
+                track->second.note_pace(static_cast<double>(taken.count()) /
+                                        static_cast<double>(estimate.typical().count()));
+            }
+            estimate.note(std::max(taken, duration(1)));
         }
         if (failed && !which.timed_out && is_idempotent(which.which->kind) &&
             may_send_again(which, now)) {
@@ -80,7 +86,7 @@
     if (which.sends >= which.which->most_upstreams)
         return false;
     duration const needed =
-        std::chrono::duration_cast<duration>(expected_work(which) * least_time_for_repeat);
+        std::chrono::duration_cast<duration>(expected_work(which, false) * least_time_for_repeat);
     if (which.limit - now < needed)
         return false;
     if (pools_.at(which.service).retries.try_spend(options_.retries, now))
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -178,7 +178,7 @@
         end(which, refusal::no_upstream, now, out);
         return;
     }
-    duration const work = expected_work(which);
+    duration const work = expected_work(which, true);
     auto const entries = static_cast<double>(std::max<std::size_t>(region_entries_.size(), 1));
     auto const& waiting = waiting_[which.service];
     auto const ahead = std::count_if(waiting.begin(), waiting.end(), [&](request_id each) {
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -131,6 +131,7 @@
         upstream_name upstream;
         std::vector<upstream_name> tried;
         unsigned sends = 0;
+        bool familiar = false; ///< The upstream remembers its object.
         time_point sent_at;
         duration held{};
         bool share_counted = false;
@@ -141,7 +142,8 @@
     {
         std::vector<upstream_name> upstreams;
         windowed_retry_budget retries;
-        work_estimate work;
+        work_estimate work;            ///< On objects that the upstream remembers.
+        work_estimate unfamiliar_work; ///< On others.
     };
 
     struct choice
@@ -159,12 +161,16 @@
     void place_waiting(service_name const& service, time_point now, commands& out);
     void place_all_waiting(time_point now, commands& out);
     duration round_trip(upstream_track const& track) const;
-    duration expected_work(pending const& which) const;
+    duration expected_work(pending const& which, bool familiar) const;
     void start_send(pending& which, choice const& chosen, time_point now, commands& out);
     bool is_cold_sender(upstream_track const& track) const;
     bool may_run_in(route const& which, region_name const& region) const;
     bool has_local_upstream(pending const& which) const;
-    double free_slots(service_name const& service, time_point now) const;
+    /// Small for upstreams that are near and that the object's hash points to, in milliseconds.
+    double preference(pending const& which, upstream_track const& track) const;
+    /// The upstream of this region that should get the request; null when there is none.
+    upstream_track const* home_of(pending const& which) const;
+    bool are_slots_scarce(service_name const& service, time_point now) const;
 
     // Endings (forwarding_endings.cpp).
     void take_not_run(pending& which, not_run_evidence const& evidence, refusal why, time_point now,
--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -13,6 +13,11 @@
 /// links between them are narrow and dear.
 constexpr double download_between_places_ms = 40;
 constexpr double download_between_regions_ms = 150;
+constexpr double other_place_ms = 300;
+/// An upstream this much slower than the others is nobody's first choice.
+constexpr double slow_pace = 3.0;
+/// With a smaller part of the slots free, work stays with the upstreams that remember its objects.
+constexpr double scarce_part = 0.3;
 constexpr double same_place_round_trip_ms = 0.5;
 /// Work of which nothing has been seen yet is taken as this part of the latency objective.
 constexpr double unseen_work_part = 0.5;
@@ -20,7 +25,7 @@
 constexpr double cold_slowness = 2.0;
 /// Prefers, at equal cost, the upstream with more room, and the same one for the same object.
 constexpr double occupancy_preference_ms = 6;
-constexpr double object_preference_ms = 4;
+constexpr double object_preference_ms = 1000;
 /// Another region's upstream keeps this many slots for its own region's entries.
 constexpr unsigned slots_left_to_region = 1;
 
@@ -67,9 +72,13 @@
     kept = measured < kept ? measured : kept + (measured - kept) / 16;
 }
 
-duration forwarding_engine::expected_work(pending const& which) const
+duration forwarding_engine::expected_work(pending const& which, bool familiar) const
 {
-    duration const seen = pools_.at(which.service).work.typical();
+    service_pool const& pool = pools_.at(which.service);
+    duration const unfamiliar = pool.unfamiliar_work.typical();
+    duration const seen = familiar && pool.work.typical() > duration::zero()
+                              ? std::min(pool.work.typical(), std::max(unfamiliar, duration(1)))
+                              : unfamiliar;
     if (seen > duration::zero())
         return seen;
     return std::chrono::duration_cast<duration>(which.which->latency_objective * unseen_work_part);
@@ -142,15 +151,60 @@
         else if (track.how_far() == distance::other_region)
             cost += download_between_regions_ms;
     }
-    double const slowness = track.slowness(now) * (track.is_cold(now) ? cold_slowness : 1.0);
-    cost += milliseconds(expected_work(which)) * slowness;
+    double const slowness =
+        std::max(track.slowness(now), track.pace()) * (track.is_cold(now) ? cold_slowness : 1.0);
+    cost += preference(which, track);
+    bool const familiar = track.remembers(which.arrival.object);
+    cost += milliseconds(expected_work(which, familiar)) * slowness;
     cost += milliseconds(which.which->latency_objective) * track.failure_rate();
     cost += occupancy_preference_ms * taken / track.slots();
-    if (which.arrival.object != 0)
-        cost += object_preference_ms * unit_hash(which.arrival.object, track.key());
     return cost;
 }
 
+double forwarding_engine::preference(pending const& which, upstream_track const& track) const
+{
+    double const far = track.how_far() == distance::same_place ? 0.0 : other_place_ms;
+    if (which.arrival.object == 0)
+        return far;
+    return far + object_preference_ms * unit_hash(which.arrival.object, track.key());
+}
+
+upstream_track const* forwarding_engine::home_of(pending const& which) const
+{
+    upstream_track const* home = nullptr;
+    double least = 0;
+    for (upstream_name const& each : pools_.at(which.service).upstreams) {
+        upstream_track const& track = tracks_.at(each);
+        bool const able = track.known().is_usable() && !track.is_ejected() &&
+                          track.pace() < slow_pace && track.how_far() != distance::other_region &&
+                          may_run_in(*which.which, track.known().region);
+        if (!able)
+            continue;
+        double const at = preference(which, track);
+        if (home == nullptr || at < least) {
+            home = &track;
+            least = at;
+        }
+    }
+    return home;
+}
+
+bool forwarding_engine::are_slots_scarce(service_name const& service, time_point now) const
+{
+    double slots = 0;
+    double free = 0;
+    for (upstream_name const& each : pools_.at(service).upstreams) {
+        upstream_track const& track = tracks_.at(each);
+        bool const counts = track.known().is_usable() && !track.is_ejected() &&
+                            track.how_far() != distance::other_region;
+        if (!counts)
+            continue;
+        slots += track.slots();
+        free += track.slots() - std::min(track.slots(), track.occupancy(book_, now));
+    }
+    return free < scarce_part * slots;
+}
+
 bool forwarding_engine::has_local_upstream(pending const& which) const
 {
     auto const& names = pools_.at(which.service).upstreams;
@@ -170,6 +224,8 @@
         return std::nullopt;
     std::optional<choice> near;
     std::optional<choice> far;
+    upstream_track const* const home = home_of(which);
+    bool const scarce = which.arrival.object != 0 && are_slots_scarce(which.service, now);
     for (upstream_name const& name : pool->second.upstreams) {
         upstream_track& track = tracks_.at(name);
         if (!may_run_in(*which.which, track.known().region))
@@ -178,6 +234,9 @@
         if (!cost)
             continue;
         bool const leaves = track.how_far() == distance::other_region;
+        bool const familiar = &track == home || track.remembers(which.arrival.object);
+        if (scarce && !leaves && !familiar)
+            continue;
         std::optional<choice>& best = leaves ? far : near;
         if (!best || *cost < best->cost_ms)
             best = {.track = &track, .cost_ms = *cost, .left_region = leaves};
@@ -196,18 +255,6 @@
     return in_time || verdict == share_verdict::must_leave ? far : std::nullopt;
 }
 
-double forwarding_engine::free_slots(service_name const& service, time_point now) const
-{
-    double free = 0;
-    for (upstream_name const& each : pools_.at(service).upstreams) {
-        upstream_track const& track = tracks_.at(each);
-        unsigned const taken = track.occupancy(book_, now);
-        if (track.known().is_usable() && track.slots() > taken)
-            free += track.slots() - taken;
-    }
-    return free;
-}
-
 bool forwarding_engine::try_place(pending& which, time_point now, commands& out)
 {
     if (now < suspended_until_)
@@ -226,7 +273,8 @@
     service_terms const* const terms = routes_->terms_of(which.service);
     if (terms != nullptr && terms->cold_requests_per_s > 0 && track.is_cold(now))
         track.spend_cold_room();
-    track.note_sent(now);
+    which.familiar = track.remembers(which.arrival.object);
+    track.note_sent(which.arrival.object);
     mark_changed(track);
     if (!which.share_counted) {
         share_.note(chosen.left_region, now);
--- a/libraries/forwarding/upstream_track.cpp
+++ b/libraries/forwarding/upstream_track.cpp
@@ -18,7 +18,7 @@
 upstream_track::upstream_track(upstream_track_options const& options, known_upstream const& known,
                                distance how_far)
     : options_(options), known_(known), key_(key_of(known.registration.name)), how_far_(how_far),
-      probe_pause_(options.first_probe_pause)
+      probe_pause_(options.first_probe_pause), objects_(options.remembered_objects)
 {}
 
 void upstream_track::update(known_upstream const& known)
@@ -28,18 +28,26 @@
     known_ = known;
     if (!restarted)
         return;
+    objects_.clear();
     ejected_ = false;
     failures_in_row_ = 0;
     failure_rate_ = 0;
+    pace_ = 1;
     probe_pause_ = options_.first_probe_pause;
 }
 
-void upstream_track::note_sent(time_point /*now*/)
+void upstream_track::note_sent(std::uint64_t object)
 {
+    objects_.note(object);
     ++own_under_way_;
     ++sent_since_load_;
 }
 
+void upstream_track::note_pace(double multiple)
+{
+    pace_ += options_.pace_weight * (std::min(multiple, options_.slowest_pace) - pace_);
+}
+
 void upstream_track::note_cancelled()
 {
     own_under_way_ -= std::min(own_under_way_, 1U);
--- a/libraries/forwarding/upstream_track.hpp
+++ b/libraries/forwarding/upstream_track.hpp
@@ -3,6 +3,7 @@
 
 #include "libraries/core/clock.hpp"
 #include "libraries/discovery/upstream_registry.hpp"
+#include "libraries/dispatch/object_memory.hpp"
 #include "libraries/dispatch/slot_book.hpp"
 #include "libraries/forwarding/forwarding_messages.hpp"
 
@@ -32,8 +33,13 @@
     duration shed_pause = std::chrono::milliseconds(30);
     /// Part of a cold upstream's bearable rate that is used.
     double cold_part = 0.8;
+    /// Objects that an upstream is taken to remember.
+    std::size_t remembered_objects = 24;
     /// Weight of one answer in the failure rate.
     double failure_weight = 0.1;
+    /// Weight of one answer in the pace. Single long requests are usual.
+    double pace_weight = 0.15;
+    double slowest_pace = 4;
 };
 
 /// Counts this entry's sends to an upstream and keeps what its answers said.
@@ -46,7 +52,7 @@
     /// Takes what the registry says now; the counts stay.
     void update(known_upstream const& known);
 
-    void note_sent(time_point now);
+    void note_sent(std::uint64_t object);
     void note_ended(send_end_report const& report, time_point now);
     /// The send was cancelled here.
     void note_cancelled();
@@ -66,6 +72,12 @@
     /// Requests there, all entries together, as far as is known.
     unsigned occupancy(slot_book const& book, time_point now) const;
     double slowness(time_point now) const;
+    /// True when this entry sent it work on the object lately.
+    bool remembers(std::uint64_t object) const { return objects_.contains(object); }
+    /// Takes how long a send took, as a multiple of what was expected.
+    void note_pace(double multiple);
+    /// How long work takes there, as a multiple of what is usual in the service.
+    double pace() const { return pace_; }
     double failure_rate() const { return failure_rate_; }
     bool is_cold(time_point now) const { return now < known_.cold_until; }
 
@@ -86,6 +98,7 @@
     unsigned own_under_way_ = 0;
     unsigned failures_in_row_ = 0;
     double failure_rate_ = 0;
+    double pace_ = 1;
     bool ejected_ = false;
     bool probing_ = false;
     duration probe_pause_{};
@@ -94,6 +107,7 @@
     std::optional<load_report> load_;
     unsigned sent_since_load_ = 0; ///< Own sends that the last report doesn't count.
     time_point load_at_;
+    object_memory objects_;
     double cold_room_ = 1;
     time_point cold_room_at_;
 };
