steering, forwarding: whole objects leave a region that lacks slots, slowly

Change: a part of each service's objects, moved by pressure in steps of 0.012, has its home in another region; the bound on the change of a region's share stays over it. Ruled out: spilling single requests to whoever is free.

--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -159,7 +159,9 @@
         end(which, refusal::no_room, now, out);
         return out;
     }
-    if (!try_place(which, now, out))
+    bool const placed = try_place(which, now, out);
+    pool.spill.note(placed);
+    if (!placed)
         wait_again(which, now, out);
     return out;
 }
@@ -230,6 +232,8 @@
     if (now >= next_probe_check_) {
         next_probe_check_ = now + probe_check_interval;
         book_.expire(now, report_lifetime);
+        for (auto& [service, pool] : pools_)
+            pool.spill.step(now);
         send_probes(now, out);
     }
     return out;
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -11,6 +11,7 @@
 #include "libraries/requests/windowed_retry_budget.hpp"
 #include "libraries/routing/route_table.hpp"
 #include "libraries/steering/region_share.hpp"
+#include "libraries/steering/spill_part.hpp"
 
 #include <map>
 #include <memory>
@@ -144,6 +145,7 @@
         windowed_retry_budget retries;
         work_estimate work;            ///< On objects that the upstream remembers.
         work_estimate unfamiliar_work; ///< On others.
+        spill_part spill{{}};
     };
 
     struct choice
@@ -165,11 +167,14 @@
     void start_send(pending& which, choice const& chosen, time_point now, commands& out);
     bool is_cold_sender(upstream_track const& track) const;
     bool may_run_in(route const& which, region_name const& region) const;
-    bool has_local_upstream(pending const& which) const;
     /// Small for upstreams that are near and that the object's hash points to, in milliseconds.
     double preference(pending const& which, upstream_track const& track) const;
     /// The upstream of this region that should get the request; null when there is none.
     upstream_track const* home_of(pending const& which) const;
+    /// The one of another region, should its object be served elsewhere.
+    upstream_track const* far_home_of(pending const& which) const;
+    upstream_track const* best_of(pending const& which, bool in_region) const;
+    bool is_spilled(pending const& which) const;
     bool are_slots_scarce(service_name const& service, time_point now) const;
 
     // Endings (forwarding_endings.cpp).
--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -18,6 +18,8 @@
 constexpr double slow_pace = 3.0;
 /// With a smaller part of the slots free, work stays with the upstreams that remember its objects.
 constexpr double scarce_part = 0.3;
+/// Sets the order in which objects are spilled apart from the order of their homes.
+constexpr std::uint32_t spill_seed = 1;
 constexpr double same_place_round_trip_ms = 0.5;
 /// Work of which nothing has been seen yet is taken as this part of the latency objective.
 constexpr double unseen_work_part = 0.5;
@@ -169,24 +171,44 @@
     return far + object_preference_ms * unit_hash(which.arrival.object, track.key());
 }
 
-upstream_track const* forwarding_engine::home_of(pending const& which) const
+upstream_track const* forwarding_engine::best_of(pending const& which, bool in_region) const
 {
-    upstream_track const* home = nullptr;
+    upstream_track const* best = nullptr;
     double least = 0;
     for (upstream_name const& each : pools_.at(which.service).upstreams) {
         upstream_track const& track = tracks_.at(each);
         bool const able = track.known().is_usable() && !track.is_ejected() &&
-                          track.pace() < slow_pace && track.how_far() != distance::other_region &&
+                          track.pace() < slow_pace &&
+                          (track.how_far() != distance::other_region) == in_region &&
                           may_run_in(*which.which, track.known().region);
         if (!able)
             continue;
         double const at = preference(which, track);
-        if (home == nullptr || at < least) {
-            home = &track;
+        if (best == nullptr || at < least) {
+            best = &track;
             least = at;
         }
     }
-    return home;
+    return best;
+}
+
+upstream_track const* forwarding_engine::home_of(pending const& which) const
+{
+    return best_of(which, true);
+}
+
+upstream_track const* forwarding_engine::far_home_of(pending const& which) const
+{
+    return best_of(which, false);
+}
+
+bool forwarding_engine::is_spilled(pending const& which) const
+{
+    // Downloads stay: their bytes would fill the links between regions.
+    if (which.which->kind == request_kind::download || which.arrival.object == 0)
+        return false;
+    double const place = unit_hash(which.arrival.object, upstream_key(spill_seed));
+    return pools_.at(which.service).spill.leaves(place);
 }
 
 bool forwarding_engine::are_slots_scarce(service_name const& service, time_point now) const
@@ -205,17 +227,6 @@
     return free < scarce_part * slots;
 }
 
-bool forwarding_engine::has_local_upstream(pending const& which) const
-{
-    auto const& names = pools_.at(which.service).upstreams;
-    return std::any_of(names.begin(), names.end(), [&](upstream_name const& each) {
-        upstream_track const& track = tracks_.at(each);
-        return track.known().is_usable() && !track.is_ejected() &&
-               track.how_far() != distance::other_region &&
-               may_run_in(*which.which, track.known().region);
-    });
-}
-
 std::optional<forwarding_engine::choice> forwarding_engine::choose(pending const& which,
                                                                    time_point now)
 {
@@ -225,34 +236,34 @@
     std::optional<choice> near;
     std::optional<choice> far;
     upstream_track const* const home = home_of(which);
+    upstream_track const* const far_home = far_home_of(which);
     bool const scarce = which.arrival.object != 0 && are_slots_scarce(which.service, now);
     for (upstream_name const& name : pool->second.upstreams) {
         upstream_track& track = tracks_.at(name);
         if (!may_run_in(*which.which, track.known().region))
             continue;
+        bool const leaves = track.how_far() == distance::other_region;
+        bool const familiar =
+            &track == home || &track == far_home || track.remembers(which.arrival.object);
+        if ((scarce || leaves) && !familiar && which.arrival.object != 0)
+            continue;
         std::optional<double> const cost = cost_of(which, track, now);
         if (!cost)
             continue;
-        bool const leaves = track.how_far() == distance::other_region;
-        bool const familiar = &track == home || track.remembers(which.arrival.object);
-        if (scarce && !leaves && !familiar)
-            continue;
         std::optional<choice>& best = leaves ? far : near;
         if (!best || *cost < best->cost_ms)
             best = {.track = &track, .cost_ms = *cost, .left_region = leaves};
     }
-    if (!has_local_upstream(which))
+    if (home == nullptr)
         return far;
     share_verdict const verdict = share_.judge(now);
+    bool const may_leave = verdict != share_verdict::must_stay || which.share_counted;
     bool const heavy = which.which->kind == request_kind::download;
-    if (near && !(verdict == share_verdict::must_leave && far && !heavy))
-        return near;
-    if (!far || (verdict == share_verdict::must_stay && !which.share_counted))
-        return std::nullopt;
-    // A request that would be late there takes a slot for little: it stays and waits.
-    double const elapsed = milliseconds(now - which.arrived);
-    bool const in_time = elapsed + far->cost_ms <= milliseconds(which.which->latency_objective);
-    return in_time || verdict == share_verdict::must_leave ? far : std::nullopt;
+    bool const wants_to_leave =
+        is_spilled(which) || (verdict == share_verdict::must_leave && !heavy);
+    if (far && may_leave && wants_to_leave)
+        return far;
+    return near;
 }
 
 bool forwarding_engine::try_place(pending& which, time_point now, commands& out)
--- /dev/null
+++ b/libraries/steering/spill_part.hpp
@@ -0,0 +1,51 @@
+/// Which part of a service's objects is served in other regions.
+#pragma once
+
+#include "libraries/core/clock.hpp"
+
+#include <cstdint>
+
+namespace burdockstep {
+
+/// Bounds of the part and of its speed.
+struct spill_options
+{
+    /// Time between two steps of the part.
+    duration step_interval = std::chrono::milliseconds(250);
+    /// Part of the requests that find no slot at once above which more objects leave.
+    double high_pressure = 0.08;
+    /// And below which they return.
+    double low_pressure = 0.02;
+    /// Of one step. Eight steps stay under the bound on a region's change in two seconds.
+    double step_up = 0.012;
+    double step_down = 0.006;
+    double most = 0.9;
+    /// Weight of the last interval in the pressure.
+    double memory = 0.35;
+};
+
+/// Answers the load of a region with too few slots while others have room. The part moves slowly
+/// and whole objects move with it, so that they are remembered where they are served.
+class spill_part
+{
+public:
+    explicit spill_part(spill_options options) : options_(options) {}
+
+    /// Counts a request that found a slot in this region at once, or didn't.
+    void note(bool found_slot);
+    /// Moves the part when its time has come.
+    void step(time_point now);
+    /// True when an object with this hash, 0 to 1, is served elsewhere.
+    bool leaves(double unit_hash) const { return unit_hash < part_; }
+    double part() const { return part_; }
+
+private:
+    spill_options options_;
+    time_point next_step_;
+    unsigned requests_ = 0;
+    unsigned without_slot_ = 0;
+    double pressure_ = 0;
+    double part_ = 0;
+};
+
+} // namespace burdockstep
