--- a/libraries/forwarding/admission.hpp
+++ b/libraries/forwarding/admission.hpp
@@ -17,7 +17,7 @@
     /// Part of the latency objective for which a request is held when it can't be in time anyway.
     double hopeless_hold_part = 0.1;
     /// Longest hold, as a part of the latency objective.
-    double longest_hold_part = 0.35;
+    double longest_hold_part = 0.6;
     /// Range of the time after which a refused caller should return: within it a slot is likely.
     duration shortest_return = std::chrono::milliseconds(30);
     duration longest_return = std::chrono::milliseconds(90);
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -232,8 +232,10 @@
     if (now >= next_probe_check_) {
         next_probe_check_ = now + probe_check_interval;
         book_.expire(now, report_lifetime);
-        for (auto& [service, pool] : pools_)
-            pool.spill.step(now);
+        for (auto& [service, pool] : pools_) {
+            if (pool.spill.is_due(now))
+                pool.spill.step(now, free_part(service, false, now));
+        }
         send_probes(now, out);
     }
     return out;
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -175,7 +175,8 @@
     upstream_track const* far_home_of(pending const& which) const;
     upstream_track const* best_of(pending const& which, bool in_region) const;
     bool is_spilled(pending const& which) const;
-    bool are_slots_scarce(service_name const& service, time_point now) const;
+    /// The free part of a service's slots, in this region or in the others; 0 where there are none.
+    double free_part(service_name const& service, bool in_region, time_point now) const;
 
     // Endings (forwarding_endings.cpp).
     void take_not_run(pending& which, not_run_evidence const& evidence, refusal why, time_point now,
--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -17,7 +17,7 @@
 /// An upstream this much slower than the others is nobody's first choice.
 constexpr double slow_pace = 3.0;
 /// With a smaller part of the slots free, work stays with the upstreams that remember its objects.
-constexpr double scarce_part = 0.3;
+constexpr double scarce_part = 0.6;
 /// Sets the order in which objects are spilled apart from the order of their homes.
 constexpr std::uint32_t spill_seed = 1;
 constexpr double same_place_round_trip_ms = 0.5;
@@ -211,20 +211,21 @@
     return pools_.at(which.service).spill.leaves(place);
 }
 
-bool forwarding_engine::are_slots_scarce(service_name const& service, time_point now) const
+double forwarding_engine::free_part(service_name const& service, bool in_region,
+                                    time_point now) const
 {
     double slots = 0;
     double free = 0;
     for (upstream_name const& each : pools_.at(service).upstreams) {
         upstream_track const& track = tracks_.at(each);
         bool const counts = track.known().is_usable() && !track.is_ejected() &&
-                            track.how_far() != distance::other_region;
+                            (track.how_far() != distance::other_region) == in_region;
         if (!counts)
             continue;
         slots += track.slots();
         free += track.slots() - std::min(track.slots(), track.occupancy(book_, now));
     }
-    return free < scarce_part * slots;
+    return slots > 0 ? free / slots : 0.0;
 }
 
 std::optional<forwarding_engine::choice> forwarding_engine::choose(pending const& which,
@@ -237,7 +238,8 @@
     std::optional<choice> far;
     upstream_track const* const home = home_of(which);
     upstream_track const* const far_home = far_home_of(which);
-    bool const scarce = which.arrival.object != 0 && are_slots_scarce(which.service, now);
+    bool const scarce =
+        which.arrival.object != 0 && free_part(which.service, true, now) < scarce_part;
     for (upstream_name const& name : pool->second.upstreams) {
         upstream_track& track = tracks_.at(name);
         if (!may_run_in(*which.which, track.known().region))
--- a/libraries/steering/spill_part.hpp
+++ b/libraries/steering/spill_part.hpp
@@ -17,9 +17,13 @@
     /// And below which they return.
     double low_pressure = 0.02;
     /// Of one step. Eight steps stay under the bound on a region's change in two seconds.
-    double step_up = 0.012;
-    double step_down = 0.006;
+    double step_up = 0.025;
+    double step_down = 0.012;
     double most = 0.9;
+    /// Free part of the other regions' slots above which objects may go there, and below which they
+    /// return.
+    double ample_room = 0.35;
+    double short_room = 0.1;
     /// Weight of the last interval in the pressure.
     double memory = 0.35;
 };
@@ -33,8 +37,10 @@
 
     /// Counts a request that found a slot in this region at once, or didn't.
     void note(bool found_slot);
-    /// Moves the part when its time has come.
-    void step(time_point now);
+    /// True when `step` would move the part.
+    bool is_due(time_point now) const { return now >= next_step_; }
+    /// Moves the part when its time has come. `far_room` is the free part of the slots elsewhere.
+    void step(time_point now, double far_room);
     /// True when an object with this hash, 0 to 1, is served elsewhere.
     bool leaves(double unit_hash) const { return unit_hash < part_; }
     double part() const { return part_; }
