--- a/libraries/http1/message_reader.cpp
+++ b/libraries/http1/message_reader.cpp
@@ -136,11 +136,11 @@
     auto const error = HTTP_PARSER_ERRNO(&parser_);
     if (fault_ != read_fault::none)
         return false;
+    bool const failed = error != HPE_OK && error != HPE_PAUSED;
+    bool const left_over = taken != bytes.size() && !stopped_;
     if (error == HPE_HEADER_OVERFLOW)
         fault_ = read_fault::head_too_large;
-    else if (error != HPE_OK && error != HPE_PAUSED)
-        fault_ = read_fault::malformed;
-    else if (taken != bytes.size() && !stopped_)
+    else if (failed || left_over)
         fault_ = read_fault::malformed;
     return fault_ == read_fault::none;
 }
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -108,6 +108,7 @@
             merged.insert_or_assign(each.instance, each);
     }
     std::vector<listed_member> listed;
+    listed.reserve(merged.size());
     for (auto& [name, each] : merged)
         listed.push_back(std::move(each));
     directory_.take_list(listed, context_.clock.now());
