discovery: two entries read the registry and tell the others what changed

Change: two live entries of different places, by hash, read it; deltas with the store's versions by datagram; whoever hears none for 1.5 intervals, or misses one, reads by itself. The stand-in does as the store does now, and the process test that compares the entries' calls was red before and is green.

--- /dev/null
+++ b/libraries/discovery/registry_news.cpp
@@ -0,0 +1,99 @@
+#include "libraries/discovery/registry_news.hpp"
+
+#include "libraries/core/digest.hpp"
+
+#include <algorithm>
+
+namespace burdockstep {
+
+namespace {
+
+/// Keeps this order apart from the other orders that are made of names' hashes.
+constexpr std::uint64_t reader_seed = 0x7265616465720001;
+
+wire::told_registration to_wire(registration_change const& change)
+{
+    wire::told_registration told;
+    told.name = wire::name_text(change.name.get());
+    told.state = wire::registration_state::gone;
+    if (!change.registration)
+        return told;
+    upstream_registration const& registration = *change.registration;
+    told.service = wire::name_text(registration.service.get());
+    told.place = wire::name_text(registration.place.get());
+    told.at = registration.at;
+    told.slots = registration.slots.get();
+    told.state = registration.state == upstream_state::ready ? wire::registration_state::ready
+                                                             : wire::registration_state::draining;
+    told.cold_left_ms = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(registration.cold_left).count());
+    told.heartbeat = registration.heartbeat;
+    told.started_ms = registration.started_ms;
+    return told;
+}
+
+registration_change from_wire(wire::told_registration const& told)
+{
+    registration_change change{.name = upstream_name(told.name.get()), .registration = {}};
+    if (told.state == wire::registration_state::gone)
+        return change;
+    upstream_registration registration;
+    registration.name = change.name;
+    registration.service = service_name(told.service.get());
+    registration.at = told.at;
+    registration.place = place_name(told.place.get());
+    registration.slots = slot_count(told.slots);
+    registration.state = told.state == wire::registration_state::ready ? upstream_state::ready
+                                                                       : upstream_state::draining;
+    registration.cold_left = std::chrono::milliseconds(told.cold_left_ms);
+    registration.heartbeat = told.heartbeat;
+    registration.started_ms = told.started_ms;
+    change.registration = registration;
+    return change;
+}
+
+} // namespace
+
+bool reads_for_others(instance_name const& self, std::vector<member_view> const& members)
+{
+    std::vector<member_view const*> live;
+    for (member_view const& each : members) {
+        if (each.listed.instance == self || each.is_serving())
+            live.push_back(&each);
+    }
+    std::sort(live.begin(), live.end(), [](member_view const* left, member_view const* right) {
+        return hash_of(left->listed.instance.get(), reader_seed) >
+               hash_of(right->listed.instance.get(), reader_seed);
+    });
+    if (live.size() <= 2 || live.front()->listed.instance == self)
+        return true;
+    auto const second = std::find_if(live.begin() + 1, live.end(), [&](member_view const* each) {
+        return each->listed.place != live.front()->listed.place;
+    });
+    member_view const& reader = second == live.end() ? *live[1] : **second;
+    return reader.listed.instance == self;
+}
+
+wire::registry_news make_news(std::uint64_t after, std::uint64_t version,
+                              std::vector<registration_change> const& changes)
+{
+    wire::registry_news news{.after = after, .version = version, .changes = {}};
+    for (registration_change const& each : changes) {
+        if (news.changes.is_full()) {
+            news.complete = false;
+            break;
+        }
+        news.changes.add(to_wire(each));
+    }
+    return news;
+}
+
+std::vector<registration_change> changes_of(wire::registry_news const& news)
+{
+    std::vector<registration_change> changes;
+    for (wire::told_registration const& each : news.changes.get())
+        changes.push_back(from_wire(each));
+    return changes;
+}
+
+} // namespace burdockstep
--- a/libraries/discovery/upstream_registry.cpp
+++ b/libraries/discovery/upstream_registry.cpp
@@ -51,6 +51,21 @@
     judge_missing(now);
 }
 
+bool upstream_registry::is_news(registration_change const& change) const
+{
+    auto const found = upstreams_.find(change.name);
+    if (!change.registration)
+        return found != upstreams_.end() && !found->second.removed;
+    if (found == upstreams_.end() || found->second.removed || missing_.contains(change.name))
+        return true;
+    upstream_registration const& known = found->second.registration;
+    upstream_registration const& now = *change.registration;
+    bool const grew_cold =
+        now.cold_left > duration::zero() && known.cold_left == duration::zero();
+    return is_new_incarnation(known, now) || now.state != known.state ||
+           now.slots != known.slots || now.place != known.place || grew_cold;
+}
+
 void upstream_registry::take(upstream_registration const& registration, time_point now)
 {
     missing_.erase(registration.name);
--- a/libraries/discovery/upstream_registry.hpp
+++ b/libraries/discovery/upstream_registry.hpp
@@ -49,6 +49,8 @@
     /// Takes the whole registry: what isn't in it has no entry.
     void take_all(std::vector<registration_change> const& all, time_point now);
     void take_changes(std::vector<registration_change> const& changes, time_point now);
+    /// True when a change says more than that a known upstream still lives.
+    bool is_news(registration_change const& change) const;
     /// The store answers again after it was away.
     void note_store_returned(time_point now);
     /// Somebody learnt that an upstream leaves. Returns true when that is news.
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -195,7 +195,55 @@
     friend bool operator==(slot_report const&, slot_report const&) = default;
 };
 
+/// What became of one upstream's registration.
+enum class registration_state : std::uint8_t
+{
+    ready = 0,
+    draining = 1,
+    gone = 2 ///< Its entry has been removed, or can't be read.
+};
+
+/// One registration as a reader of the registry tells it.
+struct told_registration
+{
+    name_text name;
+    name_text service;
+    name_text place;
+    address at;
+    std::uint32_t slots = 0;
+    registration_state state = registration_state::ready;
+    std::uint32_t cold_left_ms = 0;
+    std::int64_t heartbeat = 0;
+    std::int64_t started_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(name, service, place, at, slots, state, cold_left_ms, heartbeat, started_ms);
+    }
+
+    friend bool operator==(told_registration const&, told_registration const&) = default;
+};
+
+/// What changed in the registry between two versions of the store, from an entry that read it.
+struct registry_news
+{
+    std::uint64_t after = 0;
+    std::uint64_t version = 0;
+    bool complete = true; ///< Else there is more than fits: read the registry.
+    bounded_list<told_registration, 8> changes;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(after, version, complete, changes);
+    }
+
+    friend bool operator==(registry_news const&, registry_news const&) = default;
+};
+
 /// Any message. The index of the alternative is the type byte on the wire.
-using message = std::variant<heartbeat, pool_report, state_request, state_answer, slot_report>;
+using message = std::variant<heartbeat, pool_report, state_request, state_answer, slot_report,
+                             registry_news>;
 
 } // namespace burdockstep::wire
--- a/services/burdockstep_gateway/discovery/discovery_task.cpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.cpp
@@ -1,5 +1,7 @@
 #include "services/burdockstep_gateway/discovery/discovery_task.hpp"
 
+#include "libraries/discovery/registry_news.hpp"
+
 #include <algorithm>
 #include <iterator>
 
@@ -12,6 +14,8 @@
 /// An upstream that leaves must be known well within the drain limit: a third of it, and the
 /// answer's way.
 constexpr int registration_reads_per_drain_limit = 3;
+/// An entry that hears no news of the registry for so many intervals reads it by itself.
+constexpr double patience_intervals = 1.5;
 /// All entries start together: their records are read once most have been written.
 constexpr duration entries_first_read = std::chrono::milliseconds(700);
 constexpr duration entries_second_read = std::chrono::milliseconds(2'500);
@@ -187,7 +191,7 @@
 {
     note_contact(answer.status);
     time_point const now = context_.clock.now();
-    duration pause = context_.settings.drain_limit / registration_reads_per_drain_limit;
+    duration pause = read_interval();
     if (answer.status == source_status::history_lost) {
         registrations_known_ = false;
         pause = duration::zero();
@@ -196,10 +200,15 @@
         pause = retry_pause();
     }
     else {
+        auto const news = news_in(answer.content);
         if (whole)
             registry_.take_all(answer.content, now);
         else
             registry_.take_changes(answer.content, now);
+        if (!whole && reads_for_others_) {
+            context_.post(registry_news_made{
+                .news = make_news(registrations_version_.get(), answer.version.get(), news)});
+        }
         // A whole read that began before the store's return was noted is repeated.
         registrations_known_ = registrations_known_ || whole;
         registrations_version_ = answer.version;
@@ -211,6 +220,40 @@
     registrations_timer_.start_once(pause, [this] { read_registrations(); });
 }
 
+std::vector<registration_change>
+discovery_task::news_in(std::vector<registration_change> const& changes) const
+{
+    std::vector<registration_change> news;
+    for (registration_change const& each : changes) {
+        if (registry_.is_news(each))
+            news.push_back(each);
+    }
+    return news;
+}
+
+duration discovery_task::read_interval() const
+{
+    return context_.settings.drain_limit / registration_reads_per_drain_limit;
+}
+
+void discovery_task::take_news(wire::registry_news const& news)
+{
+    bool const follows = registrations_known_ && news.complete &&
+                         news.after <= registrations_version_.get();
+    // The registry may stand still: then the news is that nothing has changed.
+    if (!follows || news.version < registrations_version_.get())
+        return;
+    ++news_taken_;
+    registrations_version_ = store_version(news.version);
+    registry_.take_changes(changes_of(news), context_.clock.now());
+    publish_upstreams();
+    if (reads_for_others_ || reading_registrations_)
+        return;
+    duration const patience =
+        std::chrono::duration_cast<duration>(read_interval() * patience_intervals);
+    registrations_timer_.start_once(patience, [this] { read_registrations(); });
+}
+
 void discovery_task::publish_upstreams()
 {
     if (registry_.changes() == published_changes_)
@@ -283,6 +326,15 @@
         if (wanted_directives_ > directives_changed_ && reachable_ && !reading_directives_)
             read_directives();
     }
+    else if (auto const* const members = std::get_if<members_changed>(&what)) {
+        bool const reads = reads_for_others(context_.settings.instance, members->members);
+        if (reads != reads_for_others_)
+            log_.info("part in reading the registry changed", {field("reads_for_others", reads)});
+        reads_for_others_ = reads;
+    }
+    else if (auto const* const news = std::get_if<registry_news_heard>(&what)) {
+        take_news(news->news);
+    }
     else if (auto const* const leaving = std::get_if<upstream_leaving>(&what)) {
         if (registry_.note_leaving(leaving->name)) {
             log_.info("upstream leaves", {field("upstream", leaving->name.get()),
@@ -306,6 +358,7 @@
 void discovery_task::write_metrics(std::string& out) const
 {
     fmt::format_to(std::back_inserter(out), "burdockstep_store_calls_total {}\n", calls_);
+    fmt::format_to(std::back_inserter(out), "burdockstep_registry_news_total {}\n", news_taken_);
     fmt::format_to(std::back_inserter(out), "burdockstep_store_reachable {}\n", reachable_ ? 1 : 0);
     fmt::format_to(std::back_inserter(out), "burdockstep_configuration_version {}\n",
                    document_ ? document_->version.get() : 0);
--- a/services/burdockstep_gateway/discovery/discovery_task.hpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.hpp
@@ -31,6 +31,9 @@
     void read_registrations();
     void take_registrations(source_answer<std::vector<registration_change>> const& answer,
                             bool whole);
+    std::vector<registration_change> news_in(std::vector<registration_change> const& changes) const;
+    void take_news(wire::registry_news const& news);
+    duration read_interval() const;
     void write_own_entry();
     void read_entries();
     void follow_entries();
@@ -59,12 +62,14 @@
     /// Number of the directives' call under way: answers to earlier ones are dropped.
     std::uint64_t directives_call_ = 0;
     bool reading_directives_ = false; ///< A whole read is under way.
+    bool reads_for_others_ = true;
     bool registrations_known_ = false;
     bool reading_registrations_ = false;
     bool reachable_ = false;
     bool was_reachable_ = false; ///< Once at least.
     time_point last_contact_;
     std::uint64_t calls_ = 0;
+    std::uint64_t news_taken_ = 0;
 };
 
 } // namespace burdockstep::gateway
--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -82,6 +82,18 @@
     wire::slot_report report;
 };
 
+/// This entry has read the registry for the others.
+struct registry_news_made
+{
+    wire::registry_news news;
+};
+
+/// Another entry has read the registry.
+struct registry_news_heard
+{
+    wire::registry_news news;
+};
+
 /// The store has answered, or hasn't for a while.
 struct store_reachability
 {
@@ -109,7 +121,8 @@
 using event =
     std::variant<routing_adopted, upstreams_changed, registry_heard, entries_read, members_changed,
                  directives_seen, peer_directives_heard, upstream_leaving, upstream_cold,
-                 slot_report_made, slot_report_heard, store_reachability, process_resumed,
+                 slot_report_made, slot_report_heard, registry_news_made,
+                 registry_news_heard, store_reachability, process_resumed,
                  stop_begun, callers_moved_on, ending>;
 
 /// Posts an event to all tasks.
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -48,6 +48,8 @@
                 take(*beat);
             else if (auto const* const report = std::get_if<wire::slot_report>(&message))
                 context_.post(slot_report_heard{.report = *report});
+            else if (auto const* const news = std::get_if<wire::registry_news>(&message))
+                context_.post(registry_news_heard{.news = *news});
             return {};
         },
         [&](failure const& error) {
@@ -94,6 +96,16 @@
     }
 }
 
+void peers_task::send(registry_news_made const& made)
+{
+    std::string const bytes = wire::encode(made.news);
+    for (member_view const& each : directory_.members()) {
+        bool const is_self = each.listed.instance == context_.settings.instance;
+        if (!is_self && each.is_reachable())
+            socket_.send(each.listed.peers, bytes);
+    }
+}
+
 void peers_task::merge(entries_read const& read)
 {
     std::map<instance_name, listed_member> merged;
@@ -162,6 +174,9 @@
     else if (auto const* const made = std::get_if<slot_report_made>(&what)) {
         send(*made);
     }
+    else if (auto const* const news = std::get_if<registry_news_made>(&what)) {
+        send(*news);
+    }
     else if (std::holds_alternative<stop_begun>(what)) {
         own_state_ = wire::member_state::stopping;
         send_heartbeats();
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -220,6 +220,21 @@
              "the route is back")
 
 
+def store_calls(gateway):
+    body = http_call("GET", f"http://127.0.0.1:{gateway['metrics']}/metrics")[2].decode()
+    figures = dict(line.rsplit(" ", 1) for line in body.splitlines())
+    return int(figures["burdockstep_store_calls_total"])
+
+
+def check_registry_readers(site):
+    """Two entries read the registry; the third one lives from what they tell."""
+    before = [store_calls(each) for each in site.gateways]
+    wait_until(lambda: max(store_calls(each) - old
+                           for each, old in zip(site.gateways, before)) >= 12, "readers read")
+    grown = sorted(store_calls(each) - old for each, old in zip(site.gateways, before))
+    assert grown[0] * 3 <= grown[-1], grown
+
+
 def check_reload(site):
     gateway = site.gateways[0]
     gateway["process"].signal(signal.SIGHUP)
@@ -263,7 +278,7 @@
 def main():
     with Site(sys.argv[1]) as site:
         for check in (check_routes, check_pipelined, check_configuration, check_leaving,
-                      check_at_most_once, check_store_outage, check_reload, check_kill,
+                      check_at_most_once, check_store_outage, check_registry_readers, check_reload, check_kill,
                       check_stop):
             began = time.monotonic()
             check(site)
--- a/utilities/burdockstep_standin/site_standin.cpp
+++ b/utilities/burdockstep_standin/site_standin.cpp
@@ -10,7 +10,6 @@
 
 namespace json = boost::json;
 
-constexpr duration heartbeat_interval = std::chrono::milliseconds(300);
 constexpr duration usual_work = std::chrono::milliseconds(5);
 constexpr duration long_work = std::chrono::milliseconds(1'500);
 constexpr int slots = 3;
@@ -23,17 +22,12 @@
 } // namespace
 
 site_standin::site_standin(event_loop& loop, clock_source const& clock)
-    : loop_(loop), clock_(clock), store_(loop, clock), control_(loop, clock, {}),
-      heartbeat_timer_(loop)
+    : loop_(loop), clock_(clock), store_(loop, clock), control_(loop, clock, {})
 {}
 
 result<address> site_standin::try_listen(address const& at)
 {
     BOOST_LEAF_ASSIGN(store_at_, store_.try_listen(any_port()));
-    heartbeat_timer_.start_periodic(heartbeat_interval, [this] {
-        for (auto& [name, each] : upstreams_)
-            write_registration(*each);
-    });
     return control_.try_listen(
         at, [this](std::shared_ptr<http1::exchange> const& each) { control(*each); });
 }
--- a/utilities/burdockstep_standin/site_standin.hpp
+++ b/utilities/burdockstep_standin/site_standin.hpp
@@ -27,7 +27,8 @@
     std::unique_ptr<http1::server> server;
 };
 
-/// Starts the upstreams, writes their registrations, takes control requests.
+/// Starts the upstreams, writes their registrations, takes control requests. As in the platform's
+/// store, a heartbeat that changes nothing else doesn't change a registration.
 class site_standin
 {
 public:
@@ -50,7 +51,6 @@
     clock_source const& clock_;
     row_store_standin store_;
     http1::server control_;
-    timer heartbeat_timer_;
     address store_at_;
     std::map<std::string, std::unique_ptr<site_upstream>> upstreams_;
 };
