discovery, lookup: told registrations never step back; look-ups wait for a region's own start

A reader that knew an upstream's end from the other reader told only the beginning, and all others took the removed upstream back. Only the last state of each is told now; a read that news overtook is dropped. Ruled out: the drain state of the registry (unit tests), the store's versions (logs). Logs name results.

--- a/libraries/discovery/registry_news.cpp
+++ b/libraries/discovery/registry_news.cpp
@@ -3,6 +3,7 @@
 #include "libraries/core/digest.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace burdockstep {
 
@@ -74,6 +75,20 @@
     return reader.listed.instance == self;
 }
 
+std::vector<registration_change> worth_telling(upstream_registry const& registry,
+                                               std::vector<registration_change> const& changes)
+{
+    std::map<upstream_name, registration_change const*> last;
+    for (registration_change const& each : changes)
+        last[each.name] = &each;
+    std::vector<registration_change> told;
+    for (auto const& [name, change] : last) {
+        if (registry.is_news(*change))
+            told.push_back(*change);
+    }
+    return told;
+}
+
 wire::registry_news make_news(std::uint64_t after, std::uint64_t version,
                               std::vector<registration_change> const& changes)
 {
--- a/libraries/discovery/upstream_registry.cpp
+++ b/libraries/discovery/upstream_registry.cpp
@@ -60,10 +60,9 @@
         return true;
     upstream_registration const& known = found->second.registration;
     upstream_registration const& now = *change.registration;
-    bool const grew_cold =
-        now.cold_left > duration::zero() && known.cold_left == duration::zero();
-    return is_new_incarnation(known, now) || now.state != known.state ||
-           now.slots != known.slots || now.place != known.place || grew_cold;
+    bool const grew_cold = now.cold_left > duration::zero() && known.cold_left == duration::zero();
+    return is_new_incarnation(known, now) || now.state != known.state || now.slots != known.slots ||
+           now.place != known.place || grew_cold;
 }
 
 void upstream_registry::take(upstream_registration const& registration, time_point now)
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -41,6 +41,23 @@
     return "unknown";
 }
 
+char const* name_of(send_result result)
+{
+    switch (result) {
+    case send_result::answered:
+        return "answered";
+    case send_result::shed:
+        return "shed";
+    case send_result::other_instance:
+        return "other-instance";
+    case send_result::not_connected:
+        return "not-connected";
+    case send_result::broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
 forwarding_engine::forwarding_engine(forwarding_options options, random_source& random)
     : options_(std::move(options)), random_(random), admission_(options_.admission, random),
       share_(options_.shares), place_delay_(options_.usual_place_delay)
--- a/libraries/forwarding/forwarding_messages.hpp
+++ b/libraries/forwarding/forwarding_messages.hpp
@@ -42,6 +42,9 @@
     broken          ///< It may have run.
 };
 
+/// Short name of a result, such as "not-connected".
+char const* name_of(send_result result);
+
 /// The end of a send.
 struct send_end_report
 {
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -243,7 +243,7 @@
 };
 
 /// Any message. The index of the alternative is the type byte on the wire.
-using message = std::variant<heartbeat, pool_report, state_request, state_answer, slot_report,
-                             registry_news>;
+using message =
+    std::variant<heartbeat, pool_report, state_request, state_answer, slot_report, registry_news>;
 
 } // namespace burdockstep::wire
--- a/services/burdockstep_gateway/discovery/discovery_task.cpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.cpp
@@ -11,11 +11,11 @@
 
 /// How long the store is asked to wait for a change. Peers tell of changes meanwhile.
 constexpr duration follow_patience = std::chrono::seconds(10);
-/// An upstream that leaves must be known well within the drain limit: a third of it, and the
-/// answer's way.
-constexpr int registration_reads_per_drain_limit = 3;
+/// An upstream that leaves must be known well within the drain limit, also where one piece of news
+/// is lost: an interval, the patience for the next news, and a read across regions.
+constexpr int registration_reads_per_drain_limit = 4;
 /// An entry that hears no news of the registry for so many intervals reads it by itself.
-constexpr double patience_intervals = 1.5;
+constexpr double patience_intervals = 1.25;
 /// All entries start together: their records are read once most have been written.
 constexpr duration entries_first_read = std::chrono::milliseconds(700);
 constexpr duration entries_second_read = std::chrono::milliseconds(2'500);
@@ -199,8 +199,13 @@
     else if (answer.status != source_status::done) {
         pause = retry_pause();
     }
+    else if (!whole && answer.version < registrations_version_) {
+        log_.debug(
+            "read of the registry overtaken by news",
+            {field("read", answer.version.get()), field("known", registrations_version_.get())});
+    }
     else {
-        auto const news = news_in(answer.content);
+        auto const news = worth_telling(registry_, answer.content);
         if (whole)
             registry_.take_all(answer.content, now);
         else
@@ -220,17 +225,6 @@
     registrations_timer_.start_once(pause, [this] { read_registrations(); });
 }
 
-std::vector<registration_change>
-discovery_task::news_in(std::vector<registration_change> const& changes) const
-{
-    std::vector<registration_change> news;
-    for (registration_change const& each : changes) {
-        if (registry_.is_news(each))
-            news.push_back(each);
-    }
-    return news;
-}
-
 duration discovery_task::read_interval() const
 {
     return context_.settings.drain_limit / registration_reads_per_drain_limit;
@@ -238,11 +232,15 @@
 
 void discovery_task::take_news(wire::registry_news const& news)
 {
-    bool const follows = registrations_known_ && news.complete &&
-                         news.after <= registrations_version_.get();
-    // The registry may stand still: then the news is that nothing has changed.
-    if (!follows || news.version < registrations_version_.get())
+    if (!registrations_known_ || news.version < registrations_version_.get())
+        return;
+    bool const misses_some = !news.complete || news.after > registrations_version_.get();
+    if (misses_some) {
+        if (!reading_registrations_)
+            read_registrations();
         return;
+    }
+    // The registry may stand still: then the news is that nothing has changed.
     ++news_taken_;
     registrations_version_ = store_version(news.version);
     registry_.take_changes(changes_of(news), context_.clock.now());
--- a/services/burdockstep_gateway/discovery/discovery_task.hpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.hpp
@@ -31,7 +31,6 @@
     void read_registrations();
     void take_registrations(source_answer<std::vector<registration_change>> const& answer,
                             bool whole);
-    std::vector<registration_change> news_in(std::vector<registration_change> const& changes) const;
     void take_news(wire::registry_news const& news);
     duration read_interval() const;
     void write_own_entry();
--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -121,9 +121,8 @@
 using event =
     std::variant<routing_adopted, upstreams_changed, registry_heard, entries_read, members_changed,
                  directives_seen, peer_directives_heard, upstream_leaving, upstream_cold,
-                 slot_report_made, slot_report_heard, registry_news_made,
-                 registry_news_heard, store_reachability, process_resumed,
-                 stop_begun, callers_moved_on, ending>;
+                 slot_report_made, slot_report_heard, registry_news_made, registry_news_heard,
+                 store_reachability, process_resumed, stop_begun, callers_moved_on, ending>;
 
 /// Posts an event to all tasks.
 using event_sink = std::function<void(event)>;
--- a/services/burdockstep_gateway/lookups/lookups_task.cpp
+++ b/services/burdockstep_gateway/lookups/lookups_task.cpp
@@ -1,6 +1,8 @@
 #include "services/burdockstep_gateway/lookups/lookups_task.hpp"
 
-#include <algorithm>
+#include "libraries/lookup/entry_choice.hpp"
+
+#include <utility>
 
 namespace burdockstep::gateway {
 
@@ -9,8 +11,8 @@
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
-/// Callers read at most so many addresses.
-constexpr std::size_t most_addresses = 64;
+/// Within this time after the first configuration all entries that reach the store have it.
+constexpr duration start_spread = std::chrono::milliseconds(1'500);
 
 } // namespace
 
@@ -70,34 +72,24 @@
 
 std::vector<address> lookups_task::entries_for(lookup_question const& question) const
 {
-    std::vector<address> in_place;
-    std::vector<address> in_region;
-    std::vector<address> all;
-    for (member_view const& each : members_) {
-        bool const is_self = each.listed.instance == context_.settings.instance;
-        bool const serves = is_self ? is_ready() : each.is_serving();
-        if (!serves)
-            continue;
-        all.push_back(each.listed.callers);
-        if (each.listed.region == question.region)
-            in_region.push_back(each.listed.callers);
-        if (each.listed.place == question.place)
-            in_place.push_back(each.listed.callers);
-    }
-    std::vector<address>& chosen = !in_place.empty()    ? in_place
-                                   : !in_region.empty() ? in_region
-                                                        : all;
-    std::shuffle(chosen.begin(), chosen.end(), context_.random);
-    chosen.resize(std::min(chosen.size(), most_addresses));
-    return chosen;
+    duration const since_routes = context_.clock.now() - first_routes_at_;
+    return choose_entries({.place = question.place,
+                           .region = question.region,
+                           .members = members_,
+                           .self = context_.settings.instance,
+                           .self_is_ready = is_ready(),
+                           .just_started = !has_routes_ || since_routes < start_spread},
+                          context_.random);
 }
 
 void lookups_task::receive(event const& what)
 {
     if (auto const* const members = std::get_if<members_changed>(&what))
         members_ = members->members;
-    else if (std::holds_alternative<routing_adopted>(what))
-        has_routes_ = true;
+    else if (std::holds_alternative<routing_adopted>(what)) {
+        if (!std::exchange(has_routes_, true))
+            first_routes_at_ = context_.clock.now();
+    }
     else if (std::holds_alternative<upstreams_changed>(what))
         has_upstreams_ = true;
     else if (std::holds_alternative<stop_begun>(what))
--- a/services/burdockstep_gateway/lookups/lookups_task.hpp
+++ b/services/burdockstep_gateway/lookups/lookups_task.hpp
@@ -34,6 +34,7 @@
     http1::server lookups_;
     http1::server metrics_server_;
     std::vector<member_view> members_;
+    time_point first_routes_at_;
     bool has_routes_ = false;
     bool has_upstreams_ = false;
     bool stopping_ = false;
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -15,6 +15,19 @@
     .suspicion_timeout = std::chrono::milliseconds(1'100),
 };
 
+std::string_view name_of(wire::member_state state)
+{
+    switch (state) {
+    case wire::member_state::serving:
+        return "serving";
+    case wire::member_state::stopping:
+        return "stopping";
+    case wire::member_state::lost:
+        return "lost";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 peers_task::peers_task(gateway_context& context)
@@ -135,9 +148,9 @@
         if (!is_new && known->second == each.state)
             continue;
         known->second = each.state;
-        log_.info("entry changed", {field("entry", each.listed.instance.get()),
-                                    field("state", static_cast<int>(each.state)),
-                                    field("incarnation", each.incarnation.get())});
+        log_.info("entry changed",
+                  {field("entry", each.listed.instance.get()), field("state", name_of(each.state)),
+                   field("incarnation", each.incarnation.get())});
     }
 }
 
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -141,7 +141,7 @@
                                           : dialect_.answer_id(found->second->request().head).value;
         log_.info("send failed",
                   {field("request", caller_id), field("upstream", upstream.get()),
-                   field("result", static_cast<int>(report.result)), field("status", report.status),
+                   field("result", name_of(report.result)), field("status", report.status),
                    field("kept", report.on_kept_connection), field("reset", report.was_reset)});
     }
     answer_ = std::move(result);
--- a/tests/unit/registry_news_test.cpp
+++ b/tests/unit/registry_news_test.cpp
@@ -106,3 +106,19 @@
     CHECK(registry.is_news({.name = upstream_name("u1"), .registration = {}}));
     CHECK(!registry.is_news({.name = upstream_name("u9"), .registration = {}}));
 }
+
+TEST(registry_news, only_the_last_state_of_an_upstream_is_told)
+{
+    // The store tells each change in order; a reader that knows the end already would otherwise
+    // tell the beginning alone and bring a removed upstream back.
+    upstream_registry registry({}, {});
+    time_point const now = start_time();
+    registry.take_all({change_of(1), change_of(2)}, now);
+    registration_change const gone{.name = upstream_name("u1"), .registration = {}};
+    auto beat = change_of(1);
+    ++beat.registration->heartbeat;
+    LONGS_EQUAL(1, worth_telling(registry, {beat, gone}).size());
+    CHECK(!worth_telling(registry, {beat, gone})[0].registration.has_value());
+    registry.take_changes({gone}, now);
+    LONGS_EQUAL(0, worth_telling(registry, {beat, gone}).size());
+}
