--- a/libraries/configuration/daemon_settings.cpp
+++ b/libraries/configuration/daemon_settings.cpp
@@ -9,26 +9,14 @@
 constexpr std::int64_t default_lookup_lifetime_ms = 5'000;
 constexpr std::int64_t default_drain_limit_ms = 120'000;
 
-address read_address(table_reader& table, std::string_view key)
-{
-    std::string const text = table.text(key);
-    if (text.empty())
-        return {};
-    return handle_failure([&] { return parse_address(text); },
-                          [&](failure const& error) {
-                              table.report(key, text, error.message);
-                              return address{};
-                          });
-}
-
 void read_instance(table_reader& table, daemon_settings& settings)
 {
     settings.instance = instance_name(table.name("name"));
     settings.place = place_name(table.name("place"));
     settings.region = region_name(table.name("region"));
-    settings.callers = read_address(table, "callers");
-    settings.operators = read_address(table, "operators");
-    settings.peers = read_address(table, "peers");
+    settings.callers = table.socket_address("callers");
+    settings.operators = table.socket_address("operators");
+    settings.peers = table.socket_address("peers");
     settings.lookup_lifetime = std::chrono::milliseconds(table.integer_or(
         "lookup_lifetime_ms", {.lowest = 100, .highest = 60'000}, default_lookup_lifetime_ms));
     settings.drain_limit = std::chrono::milliseconds(table.integer_or(
@@ -56,7 +44,7 @@
     }
     if (toml::table const* const table = root.table("platform")) {
         table_reader platform(file, "platform", *table, reading.findings);
-        settings.platform = read_address(platform, "address");
+        settings.platform = platform.socket_address("address");
         platform.complete();
     }
     for (std::string const& each : root.texts("seeds")) {
--- a/libraries/configuration/gateway_settings.cpp
+++ b/libraries/configuration/gateway_settings.cpp
@@ -14,29 +14,17 @@
 constexpr std::int64_t default_retry_window_s = 10;
 constexpr double default_most_shift = 0.15;
 
-address read_address(table_reader& table, std::string_view key)
-{
-    std::string const text = table.text(key);
-    if (text.empty())
-        return {};
-    return handle_failure([&] { return parse_address(text); },
-                          [&](failure const& error) {
-                              table.report(key, text, error.message);
-                              return address{};
-                          });
-}
-
 void read_instance(table_reader& table, gateway_settings& settings)
 {
     settings.instance = instance_name(table.text("name"));
     settings.place = place_name(table.text("place"));
     settings.region = region_name(table.text("region"));
-    settings.callers = read_address(table, "callers");
-    settings.readiness = read_address(table, "readiness");
-    settings.lookups = read_address(table, "lookups");
-    settings.metrics = read_address(table, "metrics");
-    settings.peers = read_address(table, "peers");
-    settings.store = read_address(table, "store");
+    settings.callers = table.socket_address("callers");
+    settings.readiness = table.socket_address("readiness");
+    settings.lookups = table.socket_address("lookups");
+    settings.metrics = table.socket_address("metrics");
+    settings.peers = table.socket_address("peers");
+    settings.store = table.socket_address("store");
     table.complete();
 }
 
--- a/libraries/configuration/table_reader.cpp
+++ b/libraries/configuration/table_reader.cpp
@@ -178,6 +178,18 @@
     return value->get();
 }
 
+address table_reader::socket_address(std::string_view key)
+{
+    std::string const written = text(key);
+    if (written.empty())
+        return {};
+    return handle_failure([&] { return parse_address(written); },
+                          [&](failure const& error) {
+                              report(key, written, error.message);
+                              return address{};
+                          });
+}
+
 std::vector<std::string> table_reader::texts(std::string_view key)
 {
     toml::node const* const node = optional(key);
--- a/libraries/configuration/table_reader.hpp
+++ b/libraries/configuration/table_reader.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "libraries/configuration/finding.hpp"
+#include "libraries/core/address.hpp"
 
 #include <toml++/toml.h>
 
@@ -54,6 +55,8 @@
     double number_or(std::string_view key, number_range range, double fallback);
     /// A required boolean.
     bool boolean(std::string_view key);
+    /// A required IP:PORT.
+    address socket_address(std::string_view key);
     /// A list of texts. Empty when absent.
     std::vector<std::string> texts(std::string_view key);
     /// The tables of an array of tables. Empty when absent.
--- a/tests/unit/http1_server_test.cpp
+++ b/tests/unit/http1_server_test.cpp
@@ -21,7 +21,7 @@
     address at;
 
     /// Listens; `handler` gets each request, which is also kept in `seen`.
-    void listen(std::function<void(http1::exchange&)> handler)
+    void listen(std::function<void(http1::exchange&)> const& handler)
     {
         auto const bound = server->try_listen(
             loopback(), [this, handler](std::shared_ptr<http1::exchange> const& each) {
--- a/tests/unit/platform_adapter_test.cpp
+++ b/tests/unit/platform_adapter_test.cpp
@@ -5,6 +5,7 @@
 #include "tests/fakes/harness.hpp"
 
 #include <string>
+#include <vector>
 
 using namespace burdockstep;
 using namespace burdockstep::testing;
@@ -116,7 +117,8 @@
 
 TEST(platform_adapter, base64_comes_back_as_it_was)
 {
-    for (std::string const bytes : {"", "a", "ab", "abc", std::string("\0\xff\n", 3).c_str()}) {
+    std::vector<std::string> const all{"", "a", "ab", "abc", std::string("\0\xff\n", 3)};
+    for (std::string const& bytes : all) {
         auto const decoded = platform::decode_base64(platform::encode_base64(bytes));
         CHECK(decoded == bytes);
     }
