steering, forwarding: regions aren't left for upstreams that only seem slow; shift bound from the first request

Cause: the first answer of a service sets the usual time of its work. When it was a short one, all upstreams of a region with two seemed three times too slow, none was its objects' home, and without a home all went to other regions past the bound. Test a_region_whose_upstreams_all_seem_slow_is_not_left_for_it: red before, green after.

--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -175,19 +175,24 @@
 {
     upstream_track const* best = nullptr;
     double least = 0;
+    bool best_is_slow = false;
     for (upstream_name const& each : pools_.at(which.service).upstreams) {
         upstream_track const& track = tracks_.at(each);
         bool const able = track.known().is_usable() && !track.is_ejected() &&
-                          track.pace() < slow_pace &&
                           (track.how_far() != distance::other_region) == in_region &&
                           may_run_in(*which.which, track.known().region);
         if (!able)
             continue;
+        // A slow one is still better than none: its region isn't left for it.
+        bool const slow = track.pace() >= slow_pace;
         double const at = preference(which, track);
-        if (best == nullptr || at < least) {
-            best = &track;
-            least = at;
-        }
+        bool const better =
+            best == nullptr || (best_is_slow && !slow) || (slow == best_is_slow && at < least);
+        if (!better)
+            continue;
+        best = &track;
+        best_is_slow = slow;
+        least = at;
     }
     return best;
 }
--- a/libraries/steering/region_share.cpp
+++ b/libraries/steering/region_share.cpp
@@ -4,18 +4,31 @@
 
 namespace burdockstep {
 
+namespace {
+
+/// Parts of the bound on a change that a bound may be off the part, and move in one window.
+constexpr double step_part = 0.3;
+constexpr double slope_part = 0.8;
+/// With fewer requests a single one would look like a large part.
+constexpr unsigned least_requests = 20;
+
+} // namespace
+
+double region_share::window_sum::part() const
+{
+    return static_cast<double>(left) / static_cast<double>(std::max(requests, least_requests));
+}
+
 std::int64_t region_share::slice_number(time_point now) const
 {
     return now.time_since_epoch() / (options_.window / slices_per_window);
 }
 
-region_share::window_sum region_share::sum(std::int64_t newest) const
+region_share::window_sum region_share::last_window(std::int64_t newest) const
 {
     window_sum total;
     for (slice const& each : slices_) {
-        bool const inside = each.number <= newest &&
-                            each.number > newest - static_cast<std::int64_t>(slices_per_window);
-        if (!inside)
+        if (each.number <= newest - static_cast<std::int64_t>(slices_per_window))
             continue;
         total.requests += each.requests;
         total.left += each.left;
@@ -23,21 +36,32 @@
     return total;
 }
 
+void region_share::move_bounds(std::int64_t newest)
+{
+    if (newest == bounds_moved_)
+        return;
+    std::int64_t const passed =
+        bounds_moved_ < 0 ? 1 : std::min<std::int64_t>(newest - bounds_moved_, slices_per_window);
+    bounds_moved_ = newest;
+    double const part = last_window(newest).part();
+    double const step = step_part * options_.most_change;
+    double const slope =
+        slope_part * options_.most_change / slices_per_window * static_cast<double>(passed);
+    ceiling_ = std::min({1.0, ceiling_ + slope, part + step});
+    floor_ = std::max({0.0, floor_ - slope, part - step});
+}
+
 share_verdict region_share::judge(time_point now)
 {
     std::int64_t const newest = slice_number(now);
-    window_sum const last = sum(newest);
-    window_sum const before = sum(newest - static_cast<std::int64_t>(slices_per_window));
-    double const share_before = before.requests == 0 ? 0.0
-                                                     : static_cast<double>(before.left) /
-                                                           static_cast<double>(before.requests);
-    auto const requests = static_cast<double>(last.requests + 1);
-    auto const left = static_cast<double>(last.left);
-    // Early in a window few requests make large parts: one of them may always leave.
-    if (left + 1 > (share_before + options_.most_change) * std::max(requests, 10.0))
-        return share_verdict::must_stay;
-    if (left < (share_before - options_.most_change) * requests)
+    move_bounds(newest);
+    window_sum last = last_window(newest);
+    ++last.requests;
+    if (last.part() < floor_)
         return share_verdict::must_leave;
+    ++last.left;
+    if (last.part() > ceiling_)
+        return share_verdict::must_stay;
     return share_verdict::free;
 }
 
--- a/libraries/steering/region_share.hpp
+++ b/libraries/steering/region_share.hpp
@@ -25,8 +25,10 @@
     must_leave ///< Staying would lower it too fast.
 };
 
-/// Compares the part in the last window with the part in the one before, at every request. As each
-/// entry keeps the bound for its own requests, it holds for the sum over the entries of a region.
+/// Bounds the part of the last window by a ceiling and a floor that follow it slowly: a step away
+/// from the part, and a slope, which together stay under the bound from one window to the next. As
+/// each entry keeps the bound for its own requests, it holds for the sum over the entries of a
+/// region.
 class region_share
 {
 public:
@@ -49,13 +51,19 @@
     {
         unsigned requests = 0;
         unsigned left = 0;
+
+        double part() const;
     };
 
     std::int64_t slice_number(time_point now) const;
-    window_sum sum(std::int64_t newest) const;
+    window_sum last_window(std::int64_t newest) const;
+    void move_bounds(std::int64_t newest);
 
     region_share_options options_;
-    std::array<slice, 2 * slices_per_window> slices_{};
+    std::array<slice, slices_per_window> slices_{};
+    std::int64_t bounds_moved_ = -1; ///< Slice for which the bounds hold.
+    double ceiling_ = 0;
+    double floor_ = 0;
 };
 
 } // namespace burdockstep
--- a/tests/unit/forwarding_engine_test.cpp
+++ b/tests/unit/forwarding_engine_test.cpp
@@ -328,3 +328,21 @@
     CHECK(find_command<send_request>(arrive("/read/x")) == nullptr);
     CHECK(find_command<send_request>(arrive("/pay/x")) != nullptr);
 }
+
+TEST(forwarding_engine, a_region_whose_upstreams_all_seem_slow_is_not_left_for_it)
+{
+    start(0);
+    auto upstreams = sample_upstreams(2);
+    known_upstream& far = upstreams.at(upstream_name("u2"));
+    far.region = region_name("far");
+    far.registration.place = place_name("far-1");
+    far.registration.slots = slot_count(9);
+    engine->take_upstreams(upstreams, now);
+    // One short request, and then usual ones: as multiples of the first they look slow.
+    for (unsigned i = 1; i <= 12; ++i) {
+        auto const sent = arrive("/read/x");
+        STRCMP_EQUAL("u1", find_command<send_request>(sent)->upstream.get().c_str());
+        now += i == 1 ? ms(2) : ms(200);
+        end_send(i, send_result::answered, 200);
+    }
+}
