platform: the stand-in of the platform's store stands beside the adapter

Cause: its files spoke the platform's names in utilities/, outside the one folder that may. Change: moved to platform/standin as a library of its own; no code changed.

--- a/utilities/burdockstep_standin/main.cpp
+++ b/utilities/burdockstep_standin/main.cpp
@@ -1,6 +1,6 @@
 /// Stand-ins for the platform and for upstreams, for tests and for the example run.
+#include "platform/standin/site_standin.hpp"
 #include "utilities/burdockstep_standin/platform_standin.hpp"
-#include "utilities/burdockstep_standin/site_standin.hpp"
 #include "utilities/burdockstep_standin/upstreams_standin.hpp"
 
 #include "libraries/configuration/deployment_reader.hpp"
