--- a/tests/fakes/raw_sockets.cpp
+++ b/tests/fakes/raw_sockets.cpp
@@ -41,6 +41,7 @@
 {
     listener_ = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in name = loopback().to_sockaddr();
+    // Thrown, as programs without the unit tests' harness link this file too.
     bool const bound = ::bind(listener_, reinterpret_cast<sockaddr*>(&name), sizeof name) == 0;
     if (!bound || listen(listener_, 4) != 0)
         throw std::runtime_error("a raw server can't listen on loopback");
