forwarding, dispatch: a request looks at its service's upstreams twice, not five times by name

Change: pools hold their tracks; one pass finds the homes and the free part, one weighs costs; the turn is worked out when entries change, the cold sender only for cold upstreams; a report tries the requests of services in which it frees a slot; the timer for reports runs only where counts have changed. Ruled out: a change of what is decided.

--- a/libraries/dispatch/slot_book.cpp
+++ b/libraries/dispatch/slot_book.cpp
@@ -9,12 +9,14 @@
     return upstream_key(static_cast<std::uint32_t>(hash_of(name.get())));
 }
 
-void slot_book::take(wire::slot_report const& report, time_point now)
+std::vector<upstream_key> slot_book::take(wire::slot_report const& report, time_point now)
 {
+    std::vector<upstream_key> freed;
     told& entry = entries_[instance_name(report.instance.get())];
     bool const other_run = entry.incarnation != report.incarnation;
     if (!other_run && report.number <= entry.number)
-        return;
+        return freed;
+    auto const before = entry.counts;
     if (other_run || report.whole)
         clear_counts(entry);
     entry.incarnation = report.incarnation;
@@ -22,6 +24,12 @@
     entry.at = now;
     for (wire::slot_count_entry const& each : report.counts.get())
         set_count(entry, upstream_key(each.upstream), each.under_way);
+    for (auto const& [upstream, count] : before) {
+        auto const found = entry.counts.find(upstream);
+        if (found == entry.counts.end() || found->second < count)
+            freed.push_back(upstream);
+    }
+    return freed;
 }
 
 void slot_book::set_count(told& entry, upstream_key upstream, unsigned count)
--- a/libraries/dispatch/slot_book.hpp
+++ b/libraries/dispatch/slot_book.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <unordered_map>
+#include <vector>
 
 namespace burdockstep {
 
@@ -22,8 +23,9 @@
 class slot_book
 {
 public:
-    /// Takes a report. Older ones than the last of the same run are dropped.
-    void take(wire::slot_report const& report, time_point now);
+    /// Takes a report and returns the upstreams of which its sender has fewer requests under way
+    /// than before. Reports older than the last one of the same run are dropped.
+    std::vector<upstream_key> take(wire::slot_report const& report, time_point now);
     /// Drops what an entry told: it is gone, or has been silent for longer than `lifetime`.
     void forget(instance_name const& entry);
     void expire(time_point now, duration lifetime);
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -97,6 +97,7 @@
     commands out;
     for (auto& [service, pool] : pools_)
         pool.upstreams.clear();
+    tracks_by_key_.clear();
     for (auto const& [name, known] : upstreams) {
         distance how_far = distance::other_region;
         if (known.registration.place == options_.place)
@@ -104,15 +105,20 @@
         else if (known.region == options_.region)
             how_far = distance::same_region;
         auto const [position, is_new] = tracks_.try_emplace(name, options_.tracks, known, how_far);
-        if (!is_new)
-            position->second.update(known);
+        upstream_track& track = position->second;
+        if (is_new)
+            set_turn(track);
+        else
+            track.update(known);
         if (!known.removed)
-            pools_[known.registration.service].upstreams.push_back(name);
+            pools_[known.registration.service].upstreams.push_back(&track);
     }
     // Requests under way still refer to an upstream after the registry has forgotten it.
     std::erase_if(tracks_, [&](auto const& entry) {
         return !upstreams.contains(entry.first) && entry.second.own_under_way() == 0;
     });
+    for (auto const& [name, track] : tracks_)
+        tracks_by_key_.emplace(track.key(), &track);
     place_all_waiting(now, out);
     return out;
 }
@@ -130,14 +136,22 @@
             region_entries_.push_back(name);
     }
     options_.retries.entries = std::max<std::size_t>(entries_.size(), 1);
+    for (auto& [name, track] : tracks_)
+        set_turn(track);
 }
 
 forwarding_engine::commands forwarding_engine::take_slot_report(wire::slot_report const& report,
                                                                 time_point now)
 {
     commands out;
-    book_.take(report, now);
-    place_all_waiting(now, out);
+    std::set<service_name> with_freed_slots;
+    for (upstream_key const each : book_.take(report, now)) {
+        auto const found = tracks_by_key_.find(each);
+        if (found != tracks_by_key_.end())
+            with_freed_slots.insert(found->second->known().registration.service);
+    }
+    for (service_name const& each : with_freed_slots)
+        place_waiting(each, now, out);
     return out;
 }
 
@@ -187,11 +201,9 @@
 {
     auto const& upstreams = pools_.at(which.service).upstreams;
     double slots = 0;
-    for (upstream_name const& each : upstreams) {
-        upstream_track const& track = tracks_.at(each);
-        bool const counts = track.known().is_usable() && !track.is_ejected() &&
-                            track.how_far() != distance::other_region;
-        slots += counts ? track.slots() : 0;
+    for (upstream_track const* const each : upstreams) {
+        bool const counts = each->is_able() && each->how_far() != distance::other_region;
+        slots += counts ? each->slots() : 0;
     }
     if (upstreams.empty() && suspended_until_ <= now) {
         end(which, refusal::no_upstream, now, out);
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -106,6 +106,7 @@
 
     /// Upstreams whose counts of this entry changed since the last call, with the counts.
     std::vector<wire::slot_count_entry> take_changed_counts();
+    bool has_changed_counts() const { return !changed_.empty(); }
     std::vector<wire::slot_count_entry> all_counts() const;
 
     std::size_t requests_under_way() const { return requests_.size(); }
@@ -141,7 +142,7 @@
 
     struct service_pool
     {
-        std::vector<upstream_name> upstreams;
+        std::vector<upstream_track*> upstreams; ///< Not removed ones; `tracks_` owns them.
         windowed_retry_budget retries;
         work_estimate work;            ///< On objects that the upstream remembers.
         work_estimate unfamiliar_work; ///< On others.
@@ -155,25 +156,31 @@
         bool left_region = false;
     };
 
+    /// What one pass over a service's upstreams shows for a request.
+    struct pool_survey
+    {
+        upstream_track const* home = nullptr;     ///< Of this region, to get the request.
+        upstream_track const* far_home = nullptr; ///< Of another one, should it be spilled.
+        double free_near = 0;                     ///< Free part of this region's slots.
+    };
+
     // Placement (forwarding_placement.cpp).
     bool try_place(pending& which, time_point now, commands& out);
     std::optional<choice> choose(pending const& which, time_point now);
     std::optional<double> cost_of(pending const& which, upstream_track& track, time_point now);
-    bool is_slot_mine(upstream_track const& track, unsigned free, time_point now);
+    bool is_slot_mine(upstream_track& track, unsigned free, time_point now) const;
+    void set_turn(upstream_track& track) const;
     void place_waiting(service_name const& service, time_point now, commands& out);
     void place_all_waiting(time_point now, commands& out);
     duration round_trip(upstream_track const& track) const;
     duration expected_work(pending const& which, bool familiar) const;
     void start_send(pending& which, choice const& chosen, time_point now, commands& out);
+    bool may_send_to(upstream_track& track, double cold_rate, time_point now) const;
     bool is_cold_sender(upstream_track const& track) const;
     bool may_run_in(route const& which, region_name const& region) const;
     /// Small for upstreams that are near and that the object's hash points to, in milliseconds.
     double preference(pending const& which, upstream_track const& track) const;
-    /// The upstream of this region that should get the request; null when there is none.
-    upstream_track const* home_of(pending const& which) const;
-    /// The one of another region, should its object be served elsewhere.
-    upstream_track const* far_home_of(pending const& which) const;
-    upstream_track const* best_of(pending const& which, bool in_region) const;
+    pool_survey survey(pending const& which, time_point now) const;
     bool is_spilled(pending const& which) const;
     /// The free part of a service's slots, in this region or in the others; 0 where there are none.
     double free_part(service_name const& service, bool in_region, time_point now) const;
@@ -201,6 +208,7 @@
     std::shared_ptr<routing_document const> document_;
     weighted_split splits_;
     std::unordered_map<upstream_name, upstream_track> tracks_;
+    std::unordered_map<upstream_key, upstream_track const*> tracks_by_key_;
     std::map<service_name, service_pool> pools_;
     slot_book book_;
     region_share share_;
@@ -209,7 +217,6 @@
     std::unordered_map<request_id, pending> requests_;
     std::map<service_name, std::vector<request_id>> waiting_;
     std::set<std::pair<time_point, request_id>> schedule_;
-    std::unordered_map<upstream_key, time_point> free_since_;
     std::set<upstream_key> changed_;
     std::map<region_name, duration> region_delays_;
     duration place_delay_;
--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -36,6 +36,44 @@
     return std::chrono::duration<double, std::milli>(span).count();
 }
 
+/// Keeps the upstream with the least preference; a slow one only where there is no other: a region
+/// isn't left for it.
+struct preferred_upstream
+{
+    upstream_track const* track = nullptr;
+    double least = 0;
+    bool is_slow = false;
+
+    void weigh(upstream_track const& other, double at)
+    {
+        bool const slow = other.pace() >= slow_pace;
+        bool const better =
+            track == nullptr || (is_slow && !slow) || (slow == is_slow && at < least);
+        if (!better)
+            return;
+        track = &other;
+        least = at;
+        is_slow = slow;
+    }
+};
+
+/// Slots of several upstreams.
+struct slot_sum
+{
+    unsigned slots = 0;
+    unsigned free = 0;
+
+    void add(upstream_track const& track, slot_book const& book, time_point now)
+    {
+        slots += track.slots();
+        free += track.slots() - std::min(track.slots(), track.occupancy(book, now));
+    }
+    double free_part() const
+    {
+        return slots > 0 ? static_cast<double>(free) / static_cast<double>(slots) : 0.0;
+    }
+};
+
 double unit_hash(std::uint64_t object, upstream_key key)
 {
     std::uint64_t const mixed =
@@ -112,21 +150,33 @@
     return best == nullptr || *best == options_.instance;
 }
 
-bool forwarding_engine::is_slot_mine(upstream_track const& track, unsigned free, time_point now)
+bool forwarding_engine::may_send_to(upstream_track& track, double cold_rate, time_point now) const
+{
+    if (!track.may_send(now))
+        return false;
+    if (cold_rate <= 0 || !track.is_cold(now))
+        return true;
+    return is_cold_sender(track) && track.has_cold_room(cold_rate, now);
+}
+
+void forwarding_engine::set_turn(upstream_track& track) const
 {
-    auto const [since, is_new] = free_since_.try_emplace(track.key(), now);
-    (void)is_new;
-    if (track.how_far() == distance::other_region)
-        return free > slots_left_to_region;
     std::uint64_t const own = hash_of(options_.instance.get(), track.key().get());
     unsigned ahead = 0;
     for (instance_name const& each : region_entries_) {
         if (each != options_.instance && hash_of(each.get(), track.key().get()) > own)
             ++ahead;
     }
-    if (free > ahead)
-        return true;
-    return now - since->second >= options_.slot_turn * (ahead + 1 - free);
+    track.set_entries_ahead(ahead);
+}
+
+bool forwarding_engine::is_slot_mine(upstream_track& track, unsigned free, time_point now) const
+{
+    duration const free_for = track.note_free(now);
+    if (track.how_far() == distance::other_region)
+        return free > slots_left_to_region;
+    unsigned const ahead = track.entries_ahead();
+    return free > ahead || free_for >= options_.slot_turn * (ahead + 1 - free);
 }
 
 std::optional<double> forwarding_engine::cost_of(pending const& which, upstream_track& track,
@@ -137,11 +187,11 @@
         return std::nullopt;
     service_terms const* const terms = routes_->terms_of(which.service);
     double const cold_rate = terms == nullptr ? 0.0 : terms->cold_requests_per_s;
-    if (!track.may_send(now, cold_rate, is_cold_sender(track)))
+    if (!may_send_to(track, cold_rate, now))
         return std::nullopt;
     unsigned const taken = track.occupancy(book_, now);
     if (taken >= track.slots()) {
-        free_since_.erase(track.key());
+        track.note_full();
         return std::nullopt;
     }
     if (!is_slot_mine(track, track.slots() - taken, now))
@@ -171,40 +221,21 @@
     return far + object_preference_ms * unit_hash(which.arrival.object, track.key());
 }
 
-upstream_track const* forwarding_engine::best_of(pending const& which, bool in_region) const
+forwarding_engine::pool_survey forwarding_engine::survey(pending const& which, time_point now) const
 {
-    upstream_track const* best = nullptr;
-    double least = 0;
-    bool best_is_slow = false;
-    for (upstream_name const& each : pools_.at(which.service).upstreams) {
-        upstream_track const& track = tracks_.at(each);
-        bool const able = track.known().is_usable() && !track.is_ejected() &&
-                          (track.how_far() != distance::other_region) == in_region &&
-                          may_run_in(*which.which, track.known().region);
-        if (!able)
+    preferred_upstream near;
+    preferred_upstream far;
+    slot_sum near_slots;
+    for (upstream_track const* const each : pools_.at(which.service).upstreams) {
+        if (!each->is_able())
             continue;
-        // A slow one is still better than none: its region isn't left for it.
-        bool const slow = track.pace() >= slow_pace;
-        double const at = preference(which, track);
-        bool const better =
-            best == nullptr || (best_is_slow && !slow) || (slow == best_is_slow && at < least);
-        if (!better)
-            continue;
-        best = &track;
-        best_is_slow = slow;
-        least = at;
+        bool const in_region = each->how_far() != distance::other_region;
+        if (in_region)
+            near_slots.add(*each, book_, now);
+        if (may_run_in(*which.which, each->known().region))
+            (in_region ? near : far).weigh(*each, preference(which, *each));
     }
-    return best;
-}
-
-upstream_track const* forwarding_engine::home_of(pending const& which) const
-{
-    return best_of(which, true);
-}
-
-upstream_track const* forwarding_engine::far_home_of(pending const& which) const
-{
-    return best_of(which, false);
+    return {.home = near.track, .far_home = far.track, .free_near = near_slots.free_part()};
 }
 
 bool forwarding_engine::is_spilled(pending const& which) const
@@ -219,18 +250,12 @@
 double forwarding_engine::free_part(service_name const& service, bool in_region,
                                     time_point now) const
 {
-    double slots = 0;
-    double free = 0;
-    for (upstream_name const& each : pools_.at(service).upstreams) {
-        upstream_track const& track = tracks_.at(each);
-        bool const counts = track.known().is_usable() && !track.is_ejected() &&
-                            (track.how_far() != distance::other_region) == in_region;
-        if (!counts)
-            continue;
-        slots += track.slots();
-        free += track.slots() - std::min(track.slots(), track.occupancy(book_, now));
+    slot_sum sum;
+    for (upstream_track const* const each : pools_.at(service).upstreams) {
+        if (each->is_able() && (each->how_far() != distance::other_region) == in_region)
+            sum.add(*each, book_, now);
     }
-    return slots > 0 ? free / slots : 0.0;
+    return sum.free_part();
 }
 
 std::optional<forwarding_engine::choice> forwarding_engine::choose(pending const& which,
@@ -241,27 +266,25 @@
         return std::nullopt;
     std::optional<choice> near;
     std::optional<choice> far;
-    upstream_track const* const home = home_of(which);
-    upstream_track const* const far_home = far_home_of(which);
-    bool const scarce =
-        which.arrival.object != 0 && free_part(which.service, true, now) < scarce_part;
-    for (upstream_name const& name : pool->second.upstreams) {
-        upstream_track& track = tracks_.at(name);
-        if (!may_run_in(*which.which, track.known().region))
-            continue;
-        bool const leaves = track.how_far() == distance::other_region;
+    pool_survey const seen = survey(which, now);
+    bool const has_object = which.arrival.object != 0;
+    bool const scarce = has_object && seen.free_near < scarce_part;
+    for (upstream_track* const each : pool->second.upstreams) {
+        bool const leaves = each->how_far() == distance::other_region;
         bool const familiar =
-            &track == home || &track == far_home || track.remembers(which.arrival.object);
-        if ((scarce || leaves) && !familiar && which.arrival.object != 0)
+            each == seen.home || each == seen.far_home || each->remembers(which.arrival.object);
+        if ((scarce || leaves) && !familiar && has_object)
+            continue;
+        if (!may_run_in(*which.which, each->known().region))
             continue;
-        std::optional<double> const cost = cost_of(which, track, now);
+        std::optional<double> const cost = cost_of(which, *each, now);
         if (!cost)
             continue;
         std::optional<choice>& best = leaves ? far : near;
         if (!best || *cost < best->cost_ms)
-            best = {.track = &track, .cost_ms = *cost, .left_region = leaves};
+            best = {.track = each, .cost_ms = *cost, .left_region = leaves};
     }
-    if (home == nullptr)
+    if (seen.home == nullptr)
         return far;
     share_verdict const verdict = share_.judge(now);
     bool const may_leave = verdict != share_verdict::must_stay || which.share_counted;
--- a/libraries/forwarding/upstream_track.cpp
+++ b/libraries/forwarding/upstream_track.cpp
@@ -116,16 +116,19 @@
     sent_since_load_ = 0;
 }
 
-bool upstream_track::may_send(time_point now, double cold_rate, bool is_cold_sender)
+bool upstream_track::has_cold_room(double cold_rate, time_point now)
 {
-    if (!known_.is_usable() || ejected_ || now < paused_until_)
-        return false;
-    if (cold_rate <= 0 || !is_cold(now))
-        return true;
     cold_room_ =
         std::min(1.0, cold_room_ + options_.cold_part * cold_rate * seconds(now - cold_room_at_));
     cold_room_at_ = now;
-    return is_cold_sender && cold_room_ >= 1.0;
+    return cold_room_ >= 1.0;
+}
+
+duration upstream_track::note_free(time_point now)
+{
+    if (!free_since_)
+        free_since_ = now;
+    return now - *free_since_;
 }
 
 void upstream_track::spend_cold_room()
--- a/libraries/forwarding/upstream_track.hpp
+++ b/libraries/forwarding/upstream_track.hpp
@@ -63,9 +63,12 @@
     bool wants_probe(time_point now) const;
     void note_probe_sent() { probing_ = true; }
 
-    /// True when it may get a request now, slots aside. `cold_rate` is what it bears a second while
-    /// cold, 0 for no bound; only one entry sends to it meanwhile.
-    bool may_send(time_point now, double cold_rate, bool is_cold_sender);
+    /// True when it may get requests at all.
+    bool is_able() const { return known_.is_usable() && !ejected_; }
+    /// True when it may get a request now, slots and cold limits aside.
+    bool may_send(time_point now) const { return is_able() && now >= paused_until_; }
+    /// True when a cold upstream bears a further request; `cold_rate` is what it bears a second.
+    bool has_cold_room(double cold_rate, time_point now);
     /// Takes the room for one request of a cold upstream.
     void spend_cold_room();
 
@@ -74,6 +77,12 @@
     double slowness(time_point now) const;
     /// True when this entry sent it work on the object lately.
     bool remembers(std::uint64_t object) const { return objects_.contains(object); }
+    /// Entries of the region that come before this one when a slot is free.
+    void set_entries_ahead(unsigned entries) { entries_ahead_ = entries; }
+    unsigned entries_ahead() const { return entries_ahead_; }
+    /// Notes that all slots are taken, or that some are free; returns for how long they have been.
+    void note_full() { free_since_.reset(); }
+    duration note_free(time_point now);
     /// Takes how long a send took, as a multiple of what was expected.
     void note_pace(double multiple);
     /// How long work takes there, as a multiple of what is usual in the service.
@@ -108,6 +117,8 @@
     unsigned sent_since_load_ = 0; ///< Own sends that the last report doesn't count.
     time_point load_at_;
     object_memory objects_;
+    unsigned entries_ahead_ = 0;
+    std::optional<time_point> free_since_; ///< When this entry saw a free slot first.
     double cold_room_ = 1;
     time_point cold_room_at_;
 };
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -82,7 +82,7 @@
     for (forwarding_command const& each : todo)
         std::visit([this](auto const& order) { carry_out(order); }, each);
     arm_tick();
-    if (!near_report_due_) {
+    if (!near_report_due_ && engine_.has_changed_counts()) {
         near_report_due_ = true;
         near_report_timer_.start_once(near_report_delay, [this] { tell_counts(); });
     }
