discovery, peers: two entries follow the store for all; reports of counts are paced by their number

Cause: each entry waited at the store for directives and for the list of entries, so each loss of the store's history and each new entry cost a call or two of every entry, and counts went out after 2 ms to the region and 40 ms to all others however many there were: some 3,000 datagrams a second sent by each of 90 entries. Reports: 800 datagrams a second to the region, 200 to the others at most (report_pace). Found on the way by a trial that logged each call: a reader didn't tell of new entries.

--- a/libraries/discovery/platform_source.hpp
+++ b/libraries/discovery/platform_source.hpp
@@ -37,6 +37,14 @@
     store_version changed_at;
 };
 
+/// Records of entries: all, or those that changed. One that has gone for good has `leaving` set.
+struct entry_records
+{
+    std::vector<listed_member> entries;
+    /// Version at which the newest of them was written.
+    store_version changed_at;
+};
+
 /// One answer of the store.
 template <class Content>
 struct source_answer
@@ -66,11 +74,10 @@
     virtual void follow_registrations(store_version after,
                                       source_handler<std::vector<registration_change>> handler) = 0;
     /// Reads the entries that have told of themselves.
-    virtual void read_entries(source_handler<std::vector<listed_member>> handler) = 0;
-    /// Waits at most `patience` for a change of entries. The content names all that changed; one
-    /// that is leaving for good comes with `leaving` set.
+    virtual void read_entries(source_handler<entry_records> handler) = 0;
+    /// Waits at most `patience` for a change of entries.
     virtual void follow_entries(store_version after, duration patience,
-                                source_handler<std::vector<listed_member>> handler) = 0;
+                                source_handler<entry_records> handler) = 0;
     /// Tells of this entry. Repeating it does no harm.
     virtual void write_entry(listed_member const& self,
                              std::function<void(source_status)> handler) = 0;
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -225,25 +225,45 @@
     friend bool operator==(told_registration const&, told_registration const&) = default;
 };
 
-/// What changed in the registry between two versions of the store, from an entry that read it.
+/// What changed in the registry between two versions of the store, from an entry that read it. It
+/// also tells at which versions the directives and the list of entries were last changed.
 struct registry_news
 {
     std::uint64_t after = 0;
     std::uint64_t version = 0;
+    std::uint64_t directives = 0;
+    std::uint64_t entries = 0;
     bool complete = true; ///< Else there is more than fits: read the registry.
     bounded_list<told_registration, 8> changes;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(after, version, complete, changes);
+        archive(after, version, directives, entries, complete, changes);
     }
 
     friend bool operator==(registry_news const&, registry_news const&) = default;
 };
 
+/// Entries whose records changed between two changes of their list, from an entry that read them.
+struct entries_news
+{
+    std::uint64_t after = 0;
+    std::uint64_t version = 0;
+    bool complete = true; ///< Else there are more than fit: read the list.
+    bounded_list<listed_instance, 5> entries; ///< With the longest names they fit a datagram.
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(after, version, complete, entries);
+    }
+
+    friend bool operator==(entries_news const&, entries_news const&) = default;
+};
+
 /// Any message. The index of the alternative is the type byte on the wire.
-using message =
-    std::variant<heartbeat, pool_report, state_request, state_answer, slot_report, registry_news>;
+using message = std::variant<heartbeat, pool_report, state_request, state_answer, slot_report,
+                             registry_news, entries_news>;
 
 } // namespace burdockstep::wire
--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -94,6 +94,18 @@
     wire::registry_news news;
 };
 
+/// This entry has read the list of entries for the others.
+struct entries_news_made
+{
+    wire::entries_news news;
+};
+
+/// Another entry has read the list of entries.
+struct entries_news_heard
+{
+    wire::entries_news news;
+};
+
 /// The store has answered, or hasn't for a while.
 struct store_reachability
 {
@@ -122,7 +134,8 @@
     std::variant<routing_adopted, upstreams_changed, registry_heard, entries_read, members_changed,
                  directives_seen, peer_directives_heard, upstream_leaving, upstream_cold,
                  slot_report_made, slot_report_heard, registry_news_made, registry_news_heard,
-                 store_reachability, process_resumed, stop_begun, callers_moved_on, ending>;
+                 entries_news_made, entries_news_heard, store_reachability, process_resumed,
+                 stop_begun, callers_moved_on, ending>;
 
 /// Posts an event to all tasks.
 using event_sink = std::function<void(event)>;
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -63,6 +63,8 @@
                 context_.post(slot_report_heard{.report = *report});
             else if (auto const* const news = std::get_if<wire::registry_news>(&message))
                 context_.post(registry_news_heard{.news = *news});
+            else if (auto const* const listed = std::get_if<wire::entries_news>(&message))
+                context_.post(entries_news_heard{.news = *listed});
             return {};
         },
         [&](failure const& error) {
@@ -109,9 +111,9 @@
     }
 }
 
-void peers_task::send(registry_news_made const& made)
+void peers_task::send_to_all(wire::message const& message)
 {
-    std::string const bytes = wire::encode(made.news);
+    std::string const bytes = wire::encode(message);
     for (member_view const& each : directory_.members()) {
         bool const is_self = each.listed.instance == context_.settings.instance;
         if (!is_self && each.is_reachable())
@@ -188,7 +190,10 @@
         send(*made);
     }
     else if (auto const* const news = std::get_if<registry_news_made>(&what)) {
-        send(*news);
+        send_to_all(news->news);
+    }
+    else if (auto const* const listed = std::get_if<entries_news_made>(&what)) {
+        send_to_all(listed->news);
     }
     else if (std::holds_alternative<stop_begun>(what)) {
         own_state_ = wire::member_state::stopping;
--- a/services/burdockstep_gateway/peers/peers_task.hpp
+++ b/services/burdockstep_gateway/peers/peers_task.hpp
@@ -26,7 +26,7 @@
     void take(wire::heartbeat const& beat);
     void send_heartbeats();
     void send(slot_report_made const& made);
-    void send(registry_news_made const& made);
+    void send_to_all(wire::message const& message);
     void merge(entries_read const& read);
     void publish_members();
     void log_changes(std::vector<member_view> const& members);
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace burdockstep::gateway {
 
@@ -10,9 +11,6 @@
 /// Probes, ageing reports and whole reports are looked at this often.
 constexpr duration upkeep_interval = std::chrono::milliseconds(100);
 constexpr unsigned upkeeps_per_whole_report = 5;
-/// Counts of one burst of events go into one report.
-constexpr duration near_report_delay = std::chrono::milliseconds(2);
-constexpr duration far_report_delay = std::chrono::milliseconds(40);
 /// After the process stood still nothing is sent before the registry was heard anew, or this long.
 constexpr duration longest_suspension = std::chrono::milliseconds(1'500);
 constexpr duration stopping_return = std::chrono::milliseconds(50);
@@ -54,7 +52,8 @@
         carry_out(engine_.tick(context_.clock.now()));
         if (++upkeeps_ % upkeeps_per_whole_report == 0) {
             tell_all_counts(true);
-            tell_all_counts(false);
+            if (!std::exchange(far_reported_, false))
+                tell_all_counts(false);
         }
     });
     return {};
@@ -84,7 +83,7 @@
     arm_tick();
     if (!near_report_due_ && engine_.has_changed_counts()) {
         near_report_due_ = true;
-        near_report_timer_.start_once(near_report_delay, [this] { tell_counts(); });
+        near_report_timer_.start_once(report_pace_.near_delay, [this] { tell_counts(); });
     }
 }
 
@@ -276,7 +275,7 @@
     if (far_report_due_)
         return;
     far_report_due_ = true;
-    far_report_timer_.start_once(far_report_delay, [this] {
+    far_report_timer_.start_once(report_pace_.far_delay, [this] {
         far_report_due_ = false;
         tell_all_counts(false);
     });
@@ -284,6 +283,7 @@
 
 void requests_task::tell_all_counts(bool to_own_region)
 {
+    far_reported_ = far_reported_ || !to_own_region;
     context_.post(slot_report_made{.report = make_report(engine_.all_counts(), true),
                                    .to_own_region = to_own_region});
 }
@@ -312,12 +312,16 @@
     }
     else if (auto const* const members = std::get_if<members_changed>(&what)) {
         std::map<instance_name, region_name> entries;
+        std::size_t near = 0;
         for (member_view const& each : members->members) {
             bool const lives = each.listed.instance == context_.settings.instance ||
                                (each.is_reachable() && !each.listed.leaving);
-            if (lives)
-                entries.emplace(each.listed.instance, each.listed.region);
+            if (!lives)
+                continue;
+            entries.emplace(each.listed.instance, each.listed.region);
+            near += each.listed.region == context_.settings.region ? 1 : 0;
         }
+        report_pace_ = report_pace_for(near, entries.size() - near);
         engine_.take_entries(entries);
     }
     else if (auto const* const report = std::get_if<slot_report_heard>(&what)) {
--- a/services/burdockstepd/peers/peers_task.cpp
+++ b/services/burdockstepd/peers/peers_task.cpp
@@ -1,5 +1,6 @@
 #include "services/burdockstepd/peers/peers_task.hpp"
 
+#include "libraries/membership/listed_member_wire.hpp"
 #include "libraries/wire/codec.hpp"
 
 #include <algorithm>
@@ -16,28 +17,6 @@
 constexpr duration longest_unpublished = std::chrono::seconds(1);
 constexpr unsigned most_bind_tries = 16;
 
-wire::listed_instance to_wire(listed_member const& member)
-{
-    return {.instance = wire::name_text(member.instance.get()),
-            .place = wire::name_text(member.place.get()),
-            .region = wire::name_text(member.region.get()),
-            .callers = member.callers,
-            .operators = member.operators,
-            .peers = member.peers,
-            .leaving = member.leaving};
-}
-
-listed_member from_wire(wire::listed_instance const& instance)
-{
-    return {.instance = instance_name(instance.instance.get()),
-            .place = place_name(instance.place.get()),
-            .region = region_name(instance.region.get()),
-            .callers = instance.callers,
-            .operators = instance.operators,
-            .peers = instance.peers,
-            .leaving = instance.leaving};
-}
-
 } // namespace
 
 peers_task::peers_task(daemon_context& context)
