steering, forwarding: objects leave by a planned part from the first request on, and in overload

Cause: at a start each region served its own callers and let objects leave by 5 in 100 a second at most, so a region with a sixth of the slots and a third of the callers refused for ten seconds and more; and where all regions were full the objects came back (short room elsewhere), so that the worst place stayed the worst. The shift bound is between windows: before the first request there is none that a part could differ from. Change: planned_part (slots and entries of a region beside all) is where a service's part begins and what it keeps while all regions are full; the bound on the region's change lets it be so from the first request on and holds it for a window. With little pressure it falls to nothing as before.

--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -190,6 +190,7 @@
         end(which, refusal::no_room, now, out);
         return out;
     }
+    begin_spill(pool, now);
     bool const placed = try_place(which, now, out);
     pool.spill.note(placed);
     if (!placed)
@@ -263,7 +264,7 @@
         book_.expire(now, report_lifetime);
         for (auto& [service, pool] : pools_) {
             if (pool.spill.is_due(now))
-                pool.spill.step(now, free_part(service, false, now));
+                pool.spill.step(now, free_part(service, false, now), planned_spill(pool));
         }
         send_probes(now, out);
     }
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -184,6 +184,9 @@
     bool is_spilled(pending const& which) const;
     /// The free part of a service's slots, in this region or in the others; 0 where there are none.
     double free_part(service_name const& service, bool in_region, time_point now) const;
+    /// Part of a service's requests that the other regions should serve when all are full.
+    double planned_spill(service_pool const& pool) const;
+    void begin_spill(service_pool& pool, time_point now);
 
     // Endings (forwarding_endings.cpp).
     void take_not_run(pending& which, not_run_evidence const& evidence, refusal why, time_point now,
--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -2,6 +2,7 @@
 #include "libraries/forwarding/forwarding_engine.hpp"
 
 #include "libraries/core/digest.hpp"
+#include "libraries/steering/planned_part.hpp"
 
 #include <algorithm>
 
@@ -258,6 +259,31 @@
     return sum.free_part();
 }
 
+double forwarding_engine::planned_spill(service_pool const& pool) const
+{
+    region_weight weight{.near_entries = static_cast<double>(region_entries_.size()),
+                         .all_entries = static_cast<double>(entries_.size())};
+    for (upstream_track const* const each : pool.upstreams) {
+        if (!each->is_able())
+            continue;
+        weight.all_slots += each->slots();
+        weight.near_slots += each->how_far() == distance::other_region ? 0 : each->slots();
+    }
+    return planned_part(weight);
+}
+
+void forwarding_engine::begin_spill(service_pool& pool, time_point now)
+{
+    if (pool.spill.has_begun() || pool.upstreams.empty())
+        return;
+    bool const is_first = std::none_of(pools_.begin(), pools_.end(), [](auto const& each) {
+        return each.second.spill.has_begun();
+    });
+    pool.spill.begin(planned_spill(pool));
+    if (is_first)
+        share_.begin(pool.spill.part(), now);
+}
+
 std::optional<forwarding_engine::choice> forwarding_engine::choose(pending const& which,
                                                                    time_point now)
 {
--- /dev/null
+++ b/libraries/steering/planned_part.hpp
@@ -0,0 +1,19 @@
+/// Which part of a region's requests other regions should serve when all are loaded alike.
+#pragma once
+
+namespace burdockstep {
+
+/// One region beside all of them, as an entry knows them. Entries stand for callers: those are not
+/// known before they have sent anything.
+struct region_weight
+{
+    double near_slots = 0;
+    double all_slots = 0;
+    double near_entries = 0;
+    double all_entries = 0;
+};
+
+/// 0 where the region's part of the slots is at least its part of the callers.
+double planned_part(region_weight const& weight);
+
+} // namespace burdockstep
--- a/libraries/steering/region_share.cpp
+++ b/libraries/steering/region_share.cpp
@@ -49,6 +49,14 @@
         slope_part * options_.most_change / slices_per_window * static_cast<double>(passed);
     ceiling_ = std::min({1.0, ceiling_ + slope, part + step});
     floor_ = std::max({0.0, floor_ - slope, part - step});
+    if (newest < begun_until_)
+        ceiling_ = std::max(ceiling_, begun_part_);
+}
+
+void region_share::begin(double part, time_point now)
+{
+    begun_part_ = part;
+    begun_until_ = slice_number(now) + static_cast<std::int64_t>(slices_per_window);
 }
 
 share_verdict region_share::judge(time_point now)
--- a/libraries/steering/region_share.hpp
+++ b/libraries/steering/region_share.hpp
@@ -34,6 +34,9 @@
 public:
     explicit region_share(region_share_options options) : options_(options) {}
 
+    /// Lets the part be up to this from the first request on: there is none before it that it
+    /// could differ from. It is held for a window, until the part can be seen.
+    void begin(double part, time_point now);
     share_verdict judge(time_point now);
     void note(bool left_region, time_point now);
 
@@ -64,6 +67,8 @@
     std::int64_t bounds_moved_ = -1; ///< Slice for which the bounds hold.
     double ceiling_ = 0;
     double floor_ = 0;
+    double begun_part_ = 0;
+    std::int64_t begun_until_ = 0; ///< Slice from which on the part can be seen.
 };
 
 } // namespace burdockstep
--- a/libraries/steering/spill_part.cpp
+++ b/libraries/steering/spill_part.cpp
@@ -1,6 +1,7 @@
 #include "libraries/steering/spill_part.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace burdockstep {
 
@@ -10,7 +11,14 @@
     without_slot_ += found_slot ? 0 : 1;
 }
 
-void spill_part::step(time_point now, double far_room)
+void spill_part::begin(double planned)
+{
+    if (std::exchange(begun_, true))
+        return;
+    part_ = std::min(options_.most, planned);
+}
+
+void spill_part::step(time_point now, double far_room, double planned)
 {
     if (!is_due(now))
         return;
@@ -20,8 +28,10 @@
     requests_ = 0;
     without_slot_ = 0;
     pressure_ += options_.memory * (seen - pressure_);
-    bool const grows = pressure_ > options_.high_pressure && far_room > options_.ample_room;
-    bool const shrinks = pressure_ < options_.low_pressure || far_room < options_.short_room;
+    bool const wanted = far_room > options_.ample_room || part_ + options_.step_up <= planned;
+    bool const unwanted = far_room < options_.short_room && part_ > planned;
+    bool const grows = pressure_ > options_.high_pressure && wanted;
+    bool const shrinks = pressure_ < options_.low_pressure || unwanted;
     if (grows)
         part_ = std::min(options_.most, part_ + options_.step_up);
     else if (shrinks)
--- a/libraries/steering/spill_part.hpp
+++ b/libraries/steering/spill_part.hpp
@@ -28,19 +28,25 @@
     double memory = 0.35;
 };
 
-/// Answers the load of a region with too few slots while others have room. The part moves slowly
+/// Answers the load of a region with too few slots while others have room, and of regions that are
+/// all full: then each serves what its slots are of all, by the planned part. The part moves slowly
 /// and whole objects move with it, so that they are remembered where they are served.
 class spill_part
 {
 public:
     explicit spill_part(spill_options options) : options_(options) {}
 
+    /// Sets the part at the first request: nothing was served anywhere before. Later calls do
+    /// nothing.
+    void begin(double planned);
+    bool has_begun() const { return begun_; }
     /// Counts a request that found a slot in this region at once, or didn't.
     void note(bool found_slot);
     /// True when `step` would move the part.
     bool is_due(time_point now) const { return now >= next_step_; }
-    /// Moves the part when its time has come. `far_room` is the free part of the slots elsewhere.
-    void step(time_point now, double far_room);
+    /// Moves the part when its time has come. `far_room` is the free part of the slots elsewhere,
+    /// `planned` the part that is fair when all regions are full.
+    void step(time_point now, double far_room, double planned);
     /// True when an object with this hash, 0 to 1, is served elsewhere.
     bool leaves(double unit_hash) const { return unit_hash < part_; }
     double part() const { return part_; }
@@ -52,6 +58,7 @@
     unsigned without_slot_ = 0;
     double pressure_ = 0;
     double part_ = 0;
+    bool begun_ = false;
 };
 
 } // namespace burdockstep
--- a/tests/unit/forwarding_load_test.cpp
+++ b/tests/unit/forwarding_load_test.cpp
@@ -1,6 +1,7 @@
 // Plays loads against the forwarding engine in virtual time and checks what callers get.
 #include "libraries/dispatch/object_memory.hpp"
 #include "libraries/forwarding/forwarding_engine.hpp"
+#include "libraries/steering/planned_part.hpp"
 #include "libraries/steering/spill_part.hpp"
 
 #include "tests/fakes/harness.hpp"
@@ -212,13 +213,13 @@
     time_point now = start_time();
     spill_part part{{}};
 
-    void drive(unsigned steps, bool found_slot, double far_room)
+    void drive(unsigned steps, bool found_slot, double far_room, double planned = 0)
     {
         for (unsigned i = 0; i < steps; ++i) {
             for (int request = 0; request < 10; ++request)
                 part.note(found_slot);
             now += ms(250);
-            part.step(now, far_room);
+            part.step(now, far_room, planned);
         }
     }
 };
@@ -244,6 +245,41 @@
     CHECK(part.part() < before);
 }
 
+TEST(spill_part, keeps_its_planned_part_where_all_regions_are_full)
+{
+    drive(100, false, 0.0, 0.5);
+    DOUBLES_EQUAL(0.5, part.part(), 0.03);
+    drive(100, false, 0.8, 0.5);
+    CHECK(part.part() > 0.8);
+    drive(100, false, 0.0, 0.5);
+    DOUBLES_EQUAL(0.5, part.part(), 0.03);
+    drive(100, true, 0.0, 0.5);
+    DOUBLES_EQUAL(0.0, part.part(), 1e-9);
+}
+
+TEST(spill_part, begins_at_its_planned_part_once)
+{
+    part.begin(0.5);
+    part.begin(0.2);
+    DOUBLES_EQUAL(0.5, part.part(), 1e-9);
+}
+
+TEST_GROUP(planned_part){};
+
+TEST(planned_part, is_what_a_region_lacks_beside_the_others)
+{
+    DOUBLES_EQUAL(
+        0.5, planned_part({.near_slots = 6, .all_slots = 36, .near_entries = 3, .all_entries = 9}),
+        1e-9);
+    DOUBLES_EQUAL(
+        0.0, planned_part({.near_slots = 18, .all_slots = 36, .near_entries = 3, .all_entries = 9}),
+        1e-9);
+    DOUBLES_EQUAL(
+        1.0, planned_part({.near_slots = 0, .all_slots = 36, .near_entries = 3, .all_entries = 9}),
+        1e-9);
+    DOUBLES_EQUAL(0.0, planned_part({}), 1e-9);
+}
+
 TEST_GROUP(object_memory){};
 
 TEST(object_memory, forgets_what_was_used_longest_ago)
--- a/tests/unit/steering_bounds_test.cpp
+++ b/tests/unit/steering_bounds_test.cpp
@@ -128,6 +128,23 @@
     }
 }
 
+TEST(region_share, a_part_that_is_there_from_the_first_request_on_stays)
+{
+    share.begin(0.5, now);
+    unsigned left[3] = {};
+    for (unsigned i = 0; i < 600; ++i) {
+        now += ms(10);
+        share_verdict const verdict = share.judge(now);
+        bool const wants = i % 2 == 0;
+        bool const leaves =
+            verdict == share_verdict::must_leave || (wants && verdict != share_verdict::must_stay);
+        share.note(leaves, now);
+        left[i / 200] += leaves ? 1 : 0;
+    }
+    for (unsigned const each : left)
+        DOUBLES_EQUAL(100, each, 10);
+}
+
 TEST(region_share, nothing_has_to_leave_when_nothing_did)
 {
     DOUBLES_EQUAL(0.0, drive(500, false), 1e-9);
