forwarding: an object's home is the same for the entries of all places of a region

Cause: an upstream of another place stood 300 ms behind one of the own place in the order of an object's homes, so the entries of a region's two places mostly kept two homes of each object, and each one's first work is three times as long. Change: 30 ms; the way there and back between places is about 10.

--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -14,7 +14,9 @@
 /// links between them are narrow and dear.
 constexpr double download_between_places_ms = 40;
 constexpr double download_between_regions_ms = 150;
-constexpr double other_place_ms = 300;
+/// Upstreams of another place of the region are about as good as those of this one: entries of two
+/// places that keep apart have each object worked out twice from the start.
+constexpr double other_place_ms = 30;
 /// An upstream this much slower than the others is nobody's first choice.
 constexpr double slow_pace = 3.0;
 /// With a smaller part of the slots free, work stays with the upstreams that remember its objects.
