steering, forwarding, wire: an entry that starts goes on from its region's part of spilled objects

Change: whole reports of counts to the own region tell each service's part; an entry takes it once, within 1.5 s of its begin. While no other entry is known the part isn't planned.

--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -144,6 +144,7 @@
                                                                 time_point now)
 {
     commands out;
+    adopt_parts(report, now);
     std::set<service_name> with_freed_slots;
     for (upstream_key const each : book_.take(report, now)) {
         auto const found = tracks_by_key_.find(each);
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -41,6 +41,8 @@
     /// A freed slot is left to the entry that comes before this one for so long, for each such
     /// entry: news of a slot that was taken travels a few milliseconds.
     duration slot_turn = std::chrono::milliseconds(7);
+    /// An entry that knows no other for so long after its first request is the only one.
+    duration entries_patience = std::chrono::seconds(3);
     /// A further send to a kept connection that was idle for longer could find it closed.
     duration idle_limit_once = std::chrono::milliseconds(4'000);
 };
@@ -108,6 +110,8 @@
     std::vector<wire::slot_count_entry> take_changed_counts();
     bool has_changed_counts() const { return !changed_.empty(); }
     std::vector<wire::slot_count_entry> all_counts() const;
+    /// The part of each service's objects that this entry has served in other regions.
+    std::vector<wire::service_part> spilled_parts() const;
 
     std::size_t requests_under_way() const { return requests_.size(); }
     forwarding_counters const& counters() const { return counters_; }
@@ -187,6 +191,7 @@
     /// Part of a service's requests that the other regions should serve when all are full.
     double planned_spill(service_pool const& pool) const;
     void begin_spill(service_pool& pool, time_point now);
+    void adopt_parts(wire::slot_report const& report, time_point now);
 
     // Endings (forwarding_endings.cpp).
     void take_not_run(pending& which, not_run_evidence const& evidence, refusal why, time_point now,
@@ -224,6 +229,7 @@
     std::map<region_name, duration> region_delays_;
     duration place_delay_;
     time_point suspended_until_;
+    std::optional<time_point> first_arrival_;
     time_point next_probe_check_;
     bool routes_doubtful_ = false;
     forwarding_counters counters_;
--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -77,6 +77,12 @@
     }
 };
 
+/// Short name of a service between entries.
+std::uint32_t key_of(service_name const& service)
+{
+    return static_cast<std::uint32_t>(hash_of(service.get()));
+}
+
 double unit_hash(std::uint64_t object, upstream_key key)
 {
     std::uint64_t const mixed =
@@ -278,14 +284,48 @@
 {
     if (pool.spill.has_begun() || pool.upstreams.empty())
         return;
+    if (!first_arrival_)
+        first_arrival_ = now;
+    if (entries_.size() <= 1) {
+        // While the other entries aren't known, the region can't be weighed beside them.
+        if (now - *first_arrival_ > options_.entries_patience)
+            pool.spill.begin(0, now);
+        return;
+    }
     bool const is_first = std::none_of(pools_.begin(), pools_.end(), [](auto const& each) {
         return each.second.spill.has_begun();
     });
-    pool.spill.begin(planned_spill(pool));
+    pool.spill.begin(planned_spill(pool), now);
     if (is_first)
         share_.begin(pool.spill.part(), now);
 }
 
+std::vector<wire::service_part> forwarding_engine::spilled_parts() const
+{
+    std::vector<wire::service_part> parts;
+    for (auto const& [service, pool] : pools_) {
+        if (!pool.spill.has_begun())
+            continue;
+        parts.push_back({.service = key_of(service),
+                         .thousandths = static_cast<std::uint16_t>(pool.spill.part() * 1'000)});
+    }
+    return parts;
+}
+
+void forwarding_engine::adopt_parts(wire::slot_report const& report, time_point now)
+{
+    auto const sender = entries_.find(instance_name(report.instance.get()));
+    if (sender == entries_.end() || sender->second != options_.region)
+        return;
+    for (wire::service_part const& each : report.parts.get()) {
+        for (auto& [service, pool] : pools_) {
+            double const part = each.thousandths / 1'000.0;
+            if (key_of(service) == each.service && pool.spill.adopt(part, now))
+                share_.begin(part, now);
+        }
+    }
+}
+
 std::optional<forwarding_engine::choice> forwarding_engine::choose(pending const& which,
                                                                    time_point now)
 {
--- a/libraries/steering/spill_part.cpp
+++ b/libraries/steering/spill_part.cpp
@@ -11,13 +11,24 @@
     without_slot_ += found_slot ? 0 : 1;
 }
 
-void spill_part::begin(double planned)
+void spill_part::begin(double planned, time_point now)
 {
     if (std::exchange(begun_, true))
         return;
+    begun_at_ = now;
     part_ = std::min(options_.most, planned);
 }
 
+bool spill_part::adopt(double part, time_point now)
+{
+    bool const too_late = begun_ && now - begun_at_ > options_.adopted_within;
+    if (too_late || std::exchange(adopted_, true))
+        return false;
+    begin(part, now);
+    part_ = std::min(options_.most, part);
+    return true;
+}
+
 void spill_part::step(time_point now, double far_room, double planned)
 {
     if (!is_due(now))
--- a/libraries/steering/spill_part.hpp
+++ b/libraries/steering/spill_part.hpp
@@ -24,6 +24,8 @@
     /// return.
     double ample_room = 0.35;
     double short_room = 0.1;
+    /// Another entry's part is taken until so long after the begin: they tell it twice a second.
+    duration adopted_within = std::chrono::milliseconds(1'500);
     /// Weight of the last interval in the pressure.
     double memory = 0.35;
 };
@@ -38,7 +40,10 @@
 
     /// Sets the part at the first request: nothing was served anywhere before. Later calls do
     /// nothing.
-    void begin(double planned);
+    void begin(double planned, time_point now);
+    /// Takes the part of another entry of the region, once, and only shortly after the begin: this
+    /// entry has started while others served. Returns true when it was taken.
+    bool adopt(double part, time_point now);
     bool has_begun() const { return begun_; }
     /// Counts a request that found a slot in this region at once, or didn't.
     void note(bool found_slot);
@@ -59,6 +64,8 @@
     double pressure_ = 0;
     double part_ = 0;
     bool begun_ = false;
+    bool adopted_ = false;
+    time_point begun_at_;
 };
 
 } // namespace burdockstep
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -177,6 +177,21 @@
     friend bool operator==(slot_count_entry const&, slot_count_entry const&) = default;
 };
 
+/// Which part of a service's objects the sender has served in other regions.
+struct service_part
+{
+    std::uint32_t service = 0; ///< Hash of its name.
+    std::uint16_t thousandths = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(service, thousandths);
+    }
+
+    friend bool operator==(service_part const&, service_part const&) = default;
+};
+
 /// What an entry has under way, to the entries that share its upstreams.
 struct slot_report
 {
@@ -185,11 +200,13 @@
     std::uint64_t number = 0; ///< Grows with each report of an incarnation.
     bool whole = false;       ///< Upstreams that aren't named have nothing under way.
     bounded_list<slot_count_entry, 160> counts;
+    /// Told now and then to the entries of the own region: one that starts goes on from there.
+    bounded_list<service_part, 16> parts;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(instance, incarnation, number, whole, counts);
+        archive(instance, incarnation, number, whole, counts, parts);
     }
 
     friend bool operator==(slot_report const&, slot_report const&) = default;
@@ -250,7 +267,7 @@
 {
     std::uint64_t after = 0;
     std::uint64_t version = 0;
-    bool complete = true; ///< Else there are more than fit: read the list.
+    bool complete = true;                     ///< Else there are more than fit: read the list.
     bounded_list<listed_instance, 5> entries; ///< With the longest names they fit a datagram.
 
     template <class Archive>
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -284,8 +284,14 @@
 void requests_task::tell_all_counts(bool to_own_region)
 {
     far_reported_ = far_reported_ || !to_own_region;
-    context_.post(slot_report_made{.report = make_report(engine_.all_counts(), true),
-                                   .to_own_region = to_own_region});
+    wire::slot_report report = make_report(engine_.all_counts(), true);
+    if (to_own_region) {
+        for (wire::service_part const& each : engine_.spilled_parts()) {
+            if (!report.parts.is_full())
+                report.parts.add(each);
+        }
+    }
+    context_.post(slot_report_made{.report = std::move(report), .to_own_region = to_own_region});
 }
 
 void requests_task::adopt(routing_adopted const& adopted)
--- a/tests/unit/forwarding_engine_test.cpp
+++ b/tests/unit/forwarding_engine_test.cpp
@@ -74,6 +74,41 @@
     }
 };
 
+TEST(forwarding_engine, entry_that_starts_late_takes_its_regions_part_of_spilled_objects)
+{
+    start(0);
+    auto upstreams = sample_upstreams(6);
+    for (auto& [name, known] : upstreams) {
+        if (name != upstreams.begin()->first) {
+            known.region = region_name("far");
+            known.registration.place = place_name("far-1");
+        }
+    }
+    engine->take_upstreams(upstreams, now);
+    engine->take_entries({{instance_name("e"), region_name("r")},
+                          {instance_name("near"), region_name("r")},
+                          {instance_name("far"), region_name("far")}});
+    arrive("/read/x");
+    auto const planned = engine->spilled_parts();
+    CHECK(!planned.empty());
+    CHECK(planned.front().thousandths > 500);
+
+    auto const told = [&](char const* sender, std::uint16_t thousandths) {
+        wire::slot_report report{.instance = wire::name_text(sender),
+                                 .incarnation = 1,
+                                 .number = 1,
+                                 .whole = true,
+                                 .counts = {},
+                                 .parts = {}};
+        report.parts.add({.service = planned.front().service, .thousandths = thousandths});
+        return report;
+    };
+    engine->take_slot_report(told("far", 900), now);
+    CHECK_EQUAL(planned.front().thousandths, engine->spilled_parts().front().thousandths);
+    engine->take_slot_report(told("near", 100), now);
+    CHECK_EQUAL(100, engine->spilled_parts().front().thousandths);
+}
+
 TEST(forwarding_engine, request_goes_to_an_upstream_and_its_answer_to_the_caller)
 {
     start(1);
--- a/tests/unit/forwarding_load_test.cpp
+++ b/tests/unit/forwarding_load_test.cpp
@@ -259,11 +259,23 @@
 
 TEST(spill_part, begins_at_its_planned_part_once)
 {
-    part.begin(0.5);
-    part.begin(0.2);
+    part.begin(0.5, now);
+    part.begin(0.2, now);
     DOUBLES_EQUAL(0.5, part.part(), 1e-9);
 }
 
+TEST(spill_part, takes_anothers_part_once_and_only_at_its_begin)
+{
+    part.begin(0.5, now);
+    CHECK(part.adopt(0.1, now + ms(400)));
+    CHECK_FALSE(part.adopt(0.3, now + ms(500)));
+    DOUBLES_EQUAL(0.1, part.part(), 1e-9);
+    spill_part late{{}};
+    late.begin(0.5, now);
+    CHECK_FALSE(late.adopt(0.1, now + ms(2'000)));
+    DOUBLES_EQUAL(0.5, late.part(), 1e-9);
+}
+
 TEST_GROUP(planned_part){};
 
 TEST(planned_part, is_what_a_region_lacks_beside_the_others)
