discovery: registry news in pieces; lost history is told as what differs; fewer calls at a start

Cause: with more than eight changes between two reads (a release, a start) news said only "read by yourself", and after a loss of the store's history the readers told nothing, so that all entries read; at a start each entry began to wait for directives and entries before its first read of them, and one that the store turns away repeated each call about three times a second. Change: up to eight pieces (64 changes), put together by news_assembler; a whole read after a loss is told as the differences from what was known; followers wait only after their first read; pauses between failed calls grow from 250 to 700 ms.

--- a/libraries/discovery/registry_news.cpp
+++ b/libraries/discovery/registry_news.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace burdockstep {
 
@@ -11,6 +12,10 @@
 
 /// Keeps this order apart from the other orders that are made of names' hashes.
 constexpr std::uint64_t reader_seed = 0x7265616465720001;
+/// Pieces of one piece of news: more would cost more datagrams than reading by all costs calls.
+constexpr std::size_t most_pieces = 8;
+/// News of which pieces are missing: those of two readers, and an earlier one of each.
+constexpr std::size_t most_partials = 4;
 
 wire::told_registration to_wire(registration_change const& change)
 {
@@ -89,26 +94,73 @@
     return told;
 }
 
-wire::registry_news make_news(std::uint64_t after, std::uint64_t version,
-                              std::vector<registration_change> const& changes)
+std::vector<registration_change> differences(upstream_registry const& registry,
+                                             std::vector<registration_change> const& all)
 {
-    wire::registry_news news{.after = after, .version = version, .changes = {}};
+    std::vector<registration_change> changes = worth_telling(registry, all);
+    std::set<upstream_name> present;
+    for (registration_change const& each : all)
+        present.insert(each.name);
+    for (auto const& [name, known] : registry.upstreams()) {
+        if (!known.removed && !present.contains(name))
+            changes.push_back({.name = name, .registration = {}});
+    }
+    return changes;
+}
+
+std::vector<wire::registry_news> make_news(std::uint64_t after, std::uint64_t version,
+                                           std::vector<registration_change> const& changes)
+{
+    wire::registry_news const empty{.after = after, .version = version, .changes = {}};
+    std::vector<wire::registry_news> pieces{empty};
     for (registration_change const& each : changes) {
-        if (news.changes.is_full()) {
-            news.complete = false;
-            break;
-        }
-        news.changes.add(to_wire(each));
+        if (pieces.back().changes.is_full())
+            pieces.push_back(empty);
+        pieces.back().changes.add(to_wire(each));
+    }
+    if (pieces.size() > most_pieces) {
+        pieces = {empty};
+        pieces.front().complete = false;
     }
-    return news;
+    for (std::size_t i = 0; i < pieces.size(); ++i) {
+        pieces[i].piece = static_cast<std::uint8_t>(i);
+        pieces[i].pieces = static_cast<std::uint8_t>(pieces.size());
+    }
+    return pieces;
 }
 
-std::vector<registration_change> changes_of(wire::registry_news const& news)
+std::optional<told_changes> news_assembler::take(wire::registry_news const& piece)
 {
-    std::vector<registration_change> changes;
-    for (wire::told_registration const& each : news.changes.get())
-        changes.push_back(from_wire(each));
-    return changes;
+    versions const key{piece.after, piece.version};
+    partial& known = partials_[key];
+    known.last_used = ++uses_;
+    std::vector<registration_change>& own = known.pieces[piece.piece];
+    own.clear();
+    for (wire::told_registration const& each : piece.changes.get())
+        own.push_back(from_wire(each));
+    if (known.pieces.size() < piece.pieces) {
+        forget_oldest();
+        return std::nullopt;
+    }
+    told_changes whole{.after = store_version(piece.after),
+                       .version = store_version(piece.version),
+                       .complete = piece.complete,
+                       .changes = {}};
+    for (auto& [number, changes] : known.pieces)
+        whole.changes.insert(whole.changes.end(), changes.begin(), changes.end());
+    partials_.erase(key);
+    return whole;
+}
+
+void news_assembler::forget_oldest()
+{
+    if (partials_.size() <= most_partials)
+        return;
+    auto const oldest = std::min_element(partials_.begin(), partials_.end(),
+                                         [](auto const& left, auto const& right) {
+                                             return left.second.last_used < right.second.last_used;
+                                         });
+    partials_.erase(oldest);
 }
 
 } // namespace burdockstep
--- a/libraries/discovery/registry_news.hpp
+++ b/libraries/discovery/registry_news.hpp
@@ -1,10 +1,14 @@
 /// Few entries read the registry and tell the others what changed.
 #pragma once
 
+#include "libraries/discovery/platform_source.hpp"
 #include "libraries/discovery/upstream_registry.hpp"
 #include "libraries/membership/member_directory.hpp"
 #include "libraries/wire/messages.hpp"
 
+#include <map>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace burdockstep {
@@ -19,11 +23,44 @@
 std::vector<registration_change> worth_telling(upstream_registry const& registry,
                                                std::vector<registration_change> const& changes);
 
-/// What to tell of changes between two versions of the store.
-wire::registry_news make_news(std::uint64_t after, std::uint64_t version,
-                              std::vector<registration_change> const& changes);
+/// The changes by which `all`, the whole registry, differs from what `registry` knows: for whoever
+/// knows the same, where the store has lost its history.
+std::vector<registration_change> differences(upstream_registry const& registry,
+                                             std::vector<registration_change> const& all);
 
-/// The changes that were told.
-std::vector<registration_change> changes_of(wire::registry_news const& news);
+/// What to tell of changes between two versions of the store, in pieces that fit a datagram. With
+/// more changes than some dozens the one piece says that there is more than fits.
+std::vector<wire::registry_news> make_news(std::uint64_t after, std::uint64_t version,
+                                           std::vector<registration_change> const& changes);
+
+/// Changes between two versions of the store, put together from all pieces.
+struct told_changes
+{
+    store_version after;
+    store_version version;
+    bool complete = true; ///< Else there was more than could be told.
+    std::vector<registration_change> changes;
+};
+
+/// Puts pieces together again. Two readers' pieces may come mixed, some may be missing.
+class news_assembler
+{
+public:
+    /// Takes a piece and returns the whole where it was the last that was missing.
+    std::optional<told_changes> take(wire::registry_news const& piece);
+
+private:
+    struct partial
+    {
+        std::map<std::uint8_t, std::vector<registration_change>> pieces;
+        std::uint64_t last_used = 0;
+    };
+    using versions = std::pair<std::uint64_t, std::uint64_t>;
+
+    void forget_oldest();
+
+    std::map<versions, partial> partials_;
+    std::uint64_t uses_ = 0;
+};
 
 } // namespace burdockstep
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -250,13 +250,15 @@
     std::uint64_t version = 0;
     std::uint64_t directives = 0;
     std::uint64_t entries = 0;
-    bool complete = true; ///< Else there is more than fits: read the registry.
+    bool complete = true;   ///< Else there is more than fits: read the registry.
+    std::uint8_t piece = 0; ///< Of the pieces that have the same versions, from 0.
+    std::uint8_t pieces = 1;
     bounded_list<told_registration, 8> changes;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(after, version, directives, entries, complete, changes);
+        archive(after, version, directives, entries, complete, piece, pieces, changes);
     }
 
     friend bool operator==(registry_news const&, registry_news const&) = default;
--- a/services/burdockstep_gateway/discovery/discovery_task.cpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.cpp
@@ -11,18 +11,20 @@
     : context_(context), contact_(context, [this] { registrations_.note_store_returned(); }),
       directives_(context, source, contact_,
                   [this](std::set<place_name> const& each) { take_evacuations(each); }),
-      registrations_(context, source, contact_,
-                     {.on_silence = [this] { set_hears_readers(false); },
-                      .on_read = [this](wire::registry_news news) { tell(std::move(news)); }}),
+      registrations_(
+          context, source, contact_,
+          {.on_silence = [this] { set_hears_readers(false); },
+           .on_read =
+               [this](std::vector<wire::registry_news> pieces) { tell(std::move(pieces)); }}),
       entries_(context, source, contact_)
 {}
 
 result<void> discovery_task::try_start()
 {
-    update_following();
     directives_.read();
     registrations_.start();
     entries_.start();
+    update_following();
     return {};
 }
 
@@ -41,17 +43,20 @@
 {
     ++news_taken_;
     contact_.note_news();
-    if (registrations_.take_news(news))
+    auto const whole = assembler_.take(news);
+    if (whole && registrations_.take_news(*whole))
         set_hears_readers(true);
     directives_.take_word(news.directives);
     entries_.take_word(news.entries);
 }
 
-void discovery_task::tell(wire::registry_news news)
+void discovery_task::tell(std::vector<wire::registry_news> pieces)
 {
-    news.directives = directives_.changed_at();
-    news.entries = entries_.changed_at();
-    context_.post(registry_news_made{.news = std::move(news)});
+    for (wire::registry_news& each : pieces) {
+        each.directives = directives_.changed_at();
+        each.entries = entries_.changed_at();
+        context_.post(registry_news_made{.news = std::move(each)});
+    }
 }
 
 void discovery_task::tell_directives()
--- a/services/burdockstep_gateway/discovery/discovery_task.hpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.hpp
@@ -28,7 +28,7 @@
 private:
     void take_evacuations(std::set<place_name> const& evacuated);
     void take_news(wire::registry_news const& news);
-    void tell(wire::registry_news news);
+    void tell(std::vector<wire::registry_news> pieces);
     void tell_directives();
     void set_reading_for_others(bool reads);
     void set_hears_readers(bool hears);
@@ -40,6 +40,7 @@
     directives_reader directives_;
     registrations_reader registrations_;
     entries_reader entries_;
+    news_assembler assembler_;
     bool reads_for_others_ = true;
     bool hears_readers_ = false;
     std::uint64_t news_taken_ = 0;
--- a/services/burdockstep_gateway/discovery/registrations_reader.cpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.cpp
@@ -1,7 +1,5 @@
 #include "services/burdockstep_gateway/discovery/registrations_reader.hpp"
 
-#include "libraries/discovery/registry_news.hpp"
-
 #include <utility>
 
 namespace burdockstep::gateway {
@@ -49,6 +47,7 @@
 {
     registry_.note_store_returned(context_.clock.now());
     known_ = false;
+    history_lost_ = false;
 }
 
 void registrations_reader::read()
@@ -73,6 +72,7 @@
     contact_.note(answer.status);
     duration pause = interval();
     if (answer.status == source_status::history_lost) {
+        history_lost_ = known_;
         known_ = false;
         pause = duration::zero();
     }
@@ -97,31 +97,33 @@
                                  bool whole)
 {
     time_point const now = context_.clock.now();
-    auto const news = worth_telling(registry_, answer.content);
+    auto const news =
+        whole ? differences(registry_, answer.content) : worth_telling(registry_, answer.content);
+    bool const goes_on = !whole || std::exchange(history_lost_, false);
     if (whole)
         registry_.take_all(answer.content, now);
     else
         registry_.take_changes(answer.content, now);
-    if (!whole && reads_for_others_)
+    if (goes_on && reads_for_others_)
         tell_.on_read(make_news(version_.get(), answer.version.get(), news));
     // A whole read that began before the store's return was noted is repeated.
     known_ = known_ || whole;
     version_ = answer.version;
 }
 
-bool registrations_reader::take_news(wire::registry_news const& news)
+bool registrations_reader::take_news(told_changes const& news)
 {
-    if (!known_ || news.version < version_.get())
+    if (!known_ || news.version < version_)
         return true;
-    bool const misses_some = !news.complete || news.after > version_.get();
+    bool const misses_some = !news.complete || news.after > version_;
     if (misses_some) {
         if (!reading_)
             read();
         return false;
     }
     // The registry may stand still: then the news is that nothing has changed.
-    version_ = store_version(news.version);
-    registry_.take_changes(changes_of(news), context_.clock.now());
+    version_ = news.version;
+    registry_.take_changes(news.changes, context_.clock.now());
     registry_.expire(context_.clock.now());
     publish();
     if (!reads_for_others_ && !reading_)
--- a/services/burdockstep_gateway/discovery/registrations_reader.hpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.hpp
@@ -5,6 +5,7 @@
 
 #include "libraries/core/log.hpp"
 #include "libraries/discovery/platform_source.hpp"
+#include "libraries/discovery/registry_news.hpp"
 #include "libraries/discovery/upstream_registry.hpp"
 
 #include <functional>
@@ -20,7 +21,8 @@
     struct handlers
     {
         std::function<void()> on_silence; ///< No news was heard for longer than usual.
-        std::function<void(wire::registry_news)> on_read; ///< This entry has read for the others.
+        /// This entry has read for the others.
+        std::function<void(std::vector<wire::registry_news>)> on_read;
     };
 
     registrations_reader(gateway_context& context, platform_source& source, store_contact& contact,
@@ -34,7 +36,7 @@
     /// The store answers again after it was away.
     void note_store_returned();
     /// Another entry tells what it read. Returns false when this entry must read by itself.
-    bool take_news(wire::registry_news const& news);
+    bool take_news(told_changes const& news);
 
     upstream_registry& registry() { return registry_; }
     store_version version() const { return version_; }
@@ -60,6 +62,7 @@
     std::uint64_t published_changes_ = 0;
     bool reads_for_others_ = true;
     bool known_ = false;
+    bool history_lost_ = false; ///< Else the registry is known up to `version_`.
     bool reading_ = false;
 };
 
--- a/services/burdockstep_gateway/discovery/store_contact.cpp
+++ b/services/burdockstep_gateway/discovery/store_contact.cpp
@@ -1,5 +1,6 @@
 #include "services/burdockstep_gateway/discovery/store_contact.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockstep::gateway {
@@ -7,7 +8,9 @@
 namespace {
 
 constexpr duration shortest_retry = std::chrono::milliseconds(250);
-constexpr duration longest_retry_spread = std::chrono::milliseconds(250);
+/// An entry that the store turns away asks about once a second: what it misses it can't learn
+/// sooner, and its calls are the store's load.
+constexpr duration longest_retry = std::chrono::milliseconds(700);
 /// Without an answer of the store for so long, it is taken to be away, and what is known of routes
 /// may be out of date: the configuration is in force everywhere after about this time.
 constexpr duration contact_lifetime = std::chrono::milliseconds(1'500);
@@ -25,6 +28,7 @@
         note_answer();
         return;
     }
+    ++failures_in_row_;
     // A single call may fail on a connection that went silent while others are answered.
     duration const silent = context_.clock.now() - last_contact_;
     if (!reachable_ || silent < contact_lifetime)
@@ -41,6 +45,7 @@
     time_point const now = context_.clock.now();
     duration const away = now - last_contact_;
     last_contact_ = now;
+    failures_in_row_ = 0;
     if (reachable_)
         return;
     reachable_ = true;
@@ -58,8 +63,9 @@
 
 duration store_contact::retry_pause()
 {
-    auto const spread = static_cast<std::uint64_t>(longest_retry_spread.count());
-    return shortest_retry + duration(static_cast<std::int64_t>(context_.random.below(spread)));
+    duration const pause = std::min(longest_retry, shortest_retry * (1 + failures_in_row_ / 4));
+    auto const spread = static_cast<std::uint64_t>(pause.count());
+    return pause / 2 + duration(static_cast<std::int64_t>(context_.random.below(spread)));
 }
 
 } // namespace burdockstep::gateway
--- a/services/burdockstep_gateway/discovery/store_contact.hpp
+++ b/services/burdockstep_gateway/discovery/store_contact.hpp
@@ -36,6 +36,7 @@
     bool reachable_ = false;
     bool was_reachable_ = false; ///< Once at least.
     time_point last_contact_;
+    unsigned failures_in_row_ = 0;
     std::uint64_t calls_ = 0;
 };
 
--- a/tests/unit/registry_news_test.cpp
+++ b/tests/unit/registry_news_test.cpp
@@ -66,27 +66,73 @@
     draining.registration->state = upstream_state::draining;
     draining.registration->cold_left = ms(700);
     registration_change const gone{.name = upstream_name("u2"), .registration = {}};
-    auto const bytes = wire::encode(make_news(5, 9, {draining, gone, change_of(3)}));
+    auto const bytes = wire::encode(make_news(5, 9, {draining, gone, change_of(3)}).front());
     CHECK(bytes.size() <= wire::largest_datagram_bytes);
     auto const decoded = wire::decode(bytes);
     CHECK(static_cast<bool>(decoded));
-    auto const changes = changes_of(std::get<wire::registry_news>(decoded.value()));
+    news_assembler assembler;
+    auto const whole = assembler.take(std::get<wire::registry_news>(decoded.value()));
+    CHECK(whole.has_value());
+    auto const& changes = whole->changes;
     LONGS_EQUAL(3, changes.size());
     CHECK(changes[0].registration == draining.registration);
     CHECK(!changes[1].registration.has_value());
     CHECK(changes[2].registration == change_of(3).registration);
 }
 
-TEST(registry_news, more_changes_than_fit_are_told_as_incomplete_and_fit_a_datagram)
+TEST(registry_news, many_changes_are_told_in_pieces_that_fit_a_datagram)
 {
     std::vector<registration_change> many;
     for (unsigned i = 1; i <= 30; ++i) {
         many.push_back(change_of(i));
         many.back().registration->service = service_name(std::string(40, 's'));
     }
-    auto const news = make_news(1, 2, many);
-    CHECK(!news.complete);
-    CHECK(wire::encode(news).size() <= wire::largest_datagram_bytes);
+    auto const pieces = make_news(1, 2, many);
+    CHECK(pieces.size() > 1);
+    // Mixed with the pieces of another reader, in any order, one of them twice.
+    auto const others = make_news(0, 2, many);
+    news_assembler assembler;
+    std::optional<told_changes> whole;
+    for (std::size_t i = pieces.size(); i-- > 0;) {
+        CHECK(wire::encode(pieces[i]).size() <= wire::largest_datagram_bytes);
+        CHECK(!whole.has_value());
+        if (i > 0)
+            CHECK(!assembler.take(others[i]).has_value());
+        whole = assembler.take(pieces[i]);
+        if (i + 1 == pieces.size())
+            CHECK(!assembler.take(pieces[i]).has_value());
+    }
+    CHECK(whole.has_value());
+    CHECK(whole->complete);
+    LONGS_EQUAL(1, whole->after.get());
+    LONGS_EQUAL(2, whole->version.get());
+    LONGS_EQUAL(many.size(), whole->changes.size());
+    for (std::size_t i = 0; i < many.size(); ++i)
+        CHECK(whole->changes[i].registration == many[i].registration);
+}
+
+TEST(registry_news, more_changes_than_pieces_hold_are_told_as_incomplete)
+{
+    std::vector<registration_change> many;
+    for (unsigned i = 1; i <= 200; ++i)
+        many.push_back(change_of(i));
+    auto const pieces = make_news(1, 2, many);
+    LONGS_EQUAL(1, pieces.size());
+    CHECK(!pieces.front().complete);
+}
+
+TEST(registry_news, a_whole_read_is_told_as_what_differs)
+{
+    upstream_registry registry({}, {});
+    registry.take_all({change_of(1), change_of(2), change_of(3)}, start_time());
+    registration_change draining = change_of(2);
+    draining.registration->state = upstream_state::draining;
+    auto const changes = differences(registry, {change_of(1), draining, change_of(4)});
+    LONGS_EQUAL(3, changes.size());
+    CHECK(changes[0].registration == draining.registration);
+    CHECK(changes[1].registration == change_of(4).registration);
+    CHECK(changes[2].name == change_of(3).name);
+    CHECK(!changes[2].registration.has_value());
 }
 
 TEST(registry_news, heartbeats_alone_are_no_news)
