service, membership: one tree of tasks, one task and one set of exit codes for both daemons

Change: libraries/service/task_tree; name_of(member_state) and make_run in membership. The ticketed daemon's incarnations are never 0 now, as the gateway's.

--- a/libraries/membership/member_directory.cpp
+++ b/libraries/membership/member_directory.cpp
@@ -7,6 +7,28 @@
 
 namespace burdockstep {
 
+member_run make_run(random_source& random)
+{
+    auto const now = std::chrono::system_clock::now().time_since_epoch();
+    auto const started = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    // 0 stands for an entry that was never heard.
+    return {.incarnation = incarnation_id(random.next() | 1U),
+            .started_ms = static_cast<std::uint64_t>(started)};
+}
+
+char const* name_of(wire::member_state state)
+{
+    switch (state) {
+    case wire::member_state::serving:
+        return "serving";
+    case wire::member_state::stopping:
+        return "stopping";
+    case wire::member_state::lost:
+        return "lost";
+    }
+    return "unknown";
+}
+
 member_directory::member_directory(membership_options options, instance_name self, member_run run,
                                    time_point now)
     : options_(options), self_(std::move(self))
--- a/libraries/membership/member_directory.hpp
+++ b/libraries/membership/member_directory.hpp
@@ -3,6 +3,7 @@
 
 #include "libraries/core/clock.hpp"
 #include "libraries/core/ids.hpp"
+#include "libraries/core/random.hpp"
 #include "libraries/membership/watch_ring.hpp"
 #include "libraries/wire/messages.hpp"
 
@@ -49,6 +50,12 @@
     std::uint64_t started_ms = 0; ///< Wall clock, milliseconds since 1970.
 };
 
+/// A new run of this process, begun now.
+member_run make_run(random_source& random);
+
+/// The state as logs and operators see it, such as "serving".
+char const* name_of(wire::member_state state);
+
 /// One entry with what is known of its present run.
 struct member_view
 {
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -15,19 +15,6 @@
     .suspicion_timeout = std::chrono::milliseconds(1'100),
 };
 
-std::string_view name_of(wire::member_state state)
-{
-    switch (state) {
-    case wire::member_state::serving:
-        return "serving";
-    case wire::member_state::stopping:
-        return "stopping";
-    case wire::member_state::lost:
-        return "lost";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 peers_task::peers_task(gateway_context& context)
--- a/services/burdockstep_gateway/supervisor.cpp
+++ b/services/burdockstep_gateway/supervisor.cpp
@@ -46,14 +46,6 @@
     return status.st_mtim.tv_sec * ns_per_s + status.st_mtim.tv_nsec;
 }
 
-member_run make_run(random_source& random)
-{
-    auto const now = std::chrono::system_clock::now().time_since_epoch();
-    auto const started = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-    return {.incarnation = incarnation_id(random.next() | 1U),
-            .started_ms = static_cast<std::uint64_t>(started)};
-}
-
 } // namespace
 
 supervisor::supervisor(event_loop& loop, clock_source const& clock, random_source& random,
@@ -85,13 +77,12 @@
 result<void> supervisor::try_start(platform_source& source, http_dialect const& dialect)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    tasks_.push_back(std::make_unique<requests_task>(context_, dialect));
-    tasks_.push_back(
-        std::make_unique<lookups_task>(context_, dialect, [this] { return metrics(); }));
-    tasks_.push_back(std::make_unique<peers_task>(context_));
-    tasks_.push_back(std::make_unique<discovery_task>(context_, source));
-    for (auto const& each : tasks_)
-        BOOST_LEAF_CHECK(each->try_start());
+    tasks_.add(std::make_unique<requests_task>(context_, dialect));
+    tasks_.add(
+        std::make_unique<lookups_task>(context_, dialect, [this] { return tasks_.metrics(); }));
+    tasks_.add(std::make_unique<peers_task>(context_));
+    tasks_.add(std::make_unique<discovery_task>(context_, source));
+    BOOST_LEAF_CHECK(tasks_.try_start());
     auto const stop = [](uv_signal_t* signal, int) {
         static_cast<supervisor*>(signal->data)->begin_stop();
     };
@@ -111,7 +102,7 @@
     return {};
 }
 
-gateway_exit supervisor::run()
+service_exit supervisor::run()
 {
     loop_.run();
     return exit_;
@@ -119,16 +110,8 @@
 
 void supervisor::deliver(event const& what)
 {
-    for (auto const& each : tasks_) {
-        try {
-            each->receive(what);
-        }
-        catch (std::exception const& error) {
-            log_.error("task failed; the process ends so that the platform starts it again",
-                       {field("task", each->name()), field("why", error.what())});
-            end(gateway_exit::failed);
-        }
-    }
+    if (!tasks_.deliver(what, log_))
+        end(service_exit::failed);
 }
 
 void supervisor::look_after()
@@ -196,8 +179,7 @@
         callers_moved_on_ = true;
         deliver(callers_moved_on{});
     }
-    bool const idle =
-        std::all_of(tasks_.begin(), tasks_.end(), [](auto const& each) { return each->is_idle(); });
+    bool const idle = tasks_.is_idle();
     bool const too_long = since >= settings_.stop_limit - stop_margin;
     if (!too_long && !(callers_moved_on_ && idle))
         return;
@@ -205,10 +187,10 @@
         log_.info("stopped; nothing was under way");
     else
         log_.warning("stop limit reached with work under way");
-    end(idle ? gateway_exit::stopped : gateway_exit::cut_work);
+    end(idle ? service_exit::stopped : service_exit::cut_work);
 }
 
-void supervisor::end(gateway_exit how)
+void supervisor::end(service_exit how)
 {
     exit_ = how;
     stop_timer_.stop();
@@ -216,12 +198,4 @@
     stop_timer_.start_once(stop_check_interval, [this] { loop_.stop(); });
 }
 
-std::string supervisor::metrics() const
-{
-    std::string out;
-    for (auto const& each : tasks_)
-        each->write_metrics(out);
-    return out;
-}
-
 } // namespace burdockstep::gateway
--- a/services/burdockstep_gateway/supervisor.hpp
+++ b/services/burdockstep_gateway/supervisor.hpp
@@ -13,15 +13,6 @@
 
 namespace burdockstep::gateway {
 
-/// Exit codes of the gateway.
-enum class gateway_exit : int
-{
-    stopped = 0,
-    bad_settings = 2,
-    cut_work = 3, ///< A planned stop that reached its limit with work under way.
-    failed = 70   ///< A task failed; the platform starts the process again.
-};
-
 /// Root of the tree.
 class supervisor
 {
@@ -35,7 +26,7 @@
     /// Starts all tasks.
     result<void> try_start(platform_source& source, http_dialect const& dialect);
     /// Runs until a stop is complete or a task has failed.
-    gateway_exit run();
+    service_exit run();
 
 private:
     void deliver(event const& what);
@@ -43,15 +34,14 @@
     void reload(std::string_view why);
     void begin_stop();
     void check_stop();
-    void end(gateway_exit how);
-    std::string metrics() const;
+    void end(service_exit how);
 
     event_loop& loop_;
     gateway_settings& settings_;
     std::string settings_path_;
     gateway_context context_;
     logger log_{"supervisor"};
-    std::vector<std::unique_ptr<task>> tasks_;
+    task_tree<event> tasks_;
     uv_signal_t terminate_{};
     uv_signal_t interrupt_{};
     uv_signal_t hang_up_{};
@@ -63,7 +53,7 @@
     time_point stop_began_;
     bool stopping_ = false;
     bool callers_moved_on_ = false;
-    gateway_exit exit_ = gateway_exit::stopped;
+    service_exit exit_ = service_exit::stopped;
 };
 
 } // namespace burdockstep::gateway
--- a/services/burdockstep_gateway/task.hpp
+++ b/services/burdockstep_gateway/task.hpp
@@ -1,4 +1,4 @@
-/// A part of the gateway that owns sockets and state and talks by events.
+/// The gateway's tasks and what they share.
 #pragma once
 
 #include "services/burdockstep_gateway/events.hpp"
@@ -8,9 +8,7 @@
 #include "libraries/core/error.hpp"
 #include "libraries/core/random.hpp"
 #include "libraries/net/event_loop.hpp"
-
-#include <string>
-#include <string_view>
+#include "libraries/service/task_tree.hpp"
 
 namespace burdockstep::gateway {
 
@@ -26,20 +24,6 @@
 };
 
 /// One child of the supervisor.
-class task
-{
-public:
-    virtual ~task() = default;
-
-    virtual std::string_view name() const = 0;
-    /// Binds sockets and starts timers.
-    virtual result<void> try_start() = 0;
-    /// Takes an event that any task has posted.
-    virtual void receive(event const& what) = 0;
-    /// True when nothing is under way, so that the process may end.
-    virtual bool is_idle() const { return true; }
-    /// Appends this task's counters, one a line.
-    virtual void write_metrics(std::string& /*out*/) const {}
-};
+using task = service_task<event>;
 
 } // namespace burdockstep::gateway
--- a/services/burdockstepd/operators/operators_task.cpp
+++ b/services/burdockstepd/operators/operators_task.cpp
@@ -42,19 +42,6 @@
     reply_json(exchange, status, json::object{{"error", message}});
 }
 
-char const* name_of(wire::member_state state)
-{
-    switch (state) {
-    case wire::member_state::serving:
-        return "serving";
-    case wire::member_state::stopping:
-        return "stopping";
-    case wire::member_state::lost:
-        return "lost";
-    }
-    return "lost";
-}
-
 char const* name_of(apply_verdict verdict)
 {
     switch (verdict) {
--- a/services/burdockstepd/supervisor.cpp
+++ b/services/burdockstepd/supervisor.cpp
@@ -18,14 +18,6 @@
 constexpr duration stop_spread_time = std::chrono::seconds(1);
 constexpr duration idle_check_interval = std::chrono::milliseconds(50);
 
-member_run make_run(random_source& random)
-{
-    auto const now = std::chrono::system_clock::now().time_since_epoch();
-    auto const started = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-    return {.incarnation = incarnation_id(random.next()),
-            .started_ms = static_cast<std::uint64_t>(started)};
-}
-
 } // namespace
 
 supervisor::supervisor(event_loop& loop, clock_source const& clock, random_source& random,
@@ -60,12 +52,11 @@
     // The order settles the ports before the peers task tells others of them.
     auto callers = std::make_unique<callers_task>(context_);
     auto operators = std::make_unique<operators_task>(context_, *callers);
-    tasks_.push_back(std::move(callers));
-    tasks_.push_back(std::move(operators));
-    tasks_.push_back(std::make_unique<peers_task>(context_));
-    tasks_.push_back(std::make_unique<platform_task>(context_));
-    for (auto const& each : tasks_)
-        BOOST_LEAF_CHECK(each->try_start());
+    tasks_.add(std::move(callers));
+    tasks_.add(std::move(operators));
+    tasks_.add(std::make_unique<peers_task>(context_));
+    tasks_.add(std::make_unique<platform_task>(context_));
+    BOOST_LEAF_CHECK(tasks_.try_start());
     auto const on_signal = [](uv_signal_t* signal, int) {
         static_cast<supervisor*>(signal->data)->begin_stop();
     };
@@ -83,7 +74,7 @@
                                   settings_.operators.text(), settings_.peers.text()));
 }
 
-daemon_exit supervisor::run()
+service_exit supervisor::run()
 {
     loop_.run();
     tasks_.clear();
@@ -92,16 +83,8 @@
 
 void supervisor::deliver(event const& what)
 {
-    for (auto const& each : tasks_) {
-        try {
-            each->receive(what);
-        }
-        catch (std::exception const& error) {
-            log_.error("task failed; the process ends so that the platform replaces it",
-                       {field("task", each->name()), field("why", error.what())});
-            end(daemon_exit::failed);
-        }
-    }
+    if (!tasks_.deliver(what, log_))
+        end(service_exit::failed);
 }
 
 void supervisor::begin_stop()
@@ -125,8 +108,7 @@
 
 void supervisor::check_idle()
 {
-    bool const idle =
-        std::all_of(tasks_.begin(), tasks_.end(), [](auto const& each) { return each->is_idle(); });
+    bool const idle = tasks_.is_idle();
     bool const too_long = context_.clock.now() - stop_began_ > settings_.drain_limit;
     if (!idle && !too_long)
         return;
@@ -134,10 +116,10 @@
         log_.warning("stop limit reached with work in flight; raise drain_limit_ms");
     else
         log_.info("stopped; nothing was in flight");
-    end(idle ? daemon_exit::stopped : daemon_exit::cut_work);
+    end(idle ? service_exit::stopped : service_exit::cut_work);
 }
 
-void supervisor::end(daemon_exit how)
+void supervisor::end(service_exit how)
 {
     exit_ = how;
     loop_.stop();
--- a/services/burdockstepd/supervisor.hpp
+++ b/services/burdockstepd/supervisor.hpp
@@ -13,15 +13,6 @@
 
 namespace burdockstep {
 
-/// Exit codes of the daemon.
-enum class daemon_exit : int
-{
-    stopped = 0, ///< A planned stop, with nothing cut.
-    bad_settings = 2,
-    cut_work = 3, ///< A planned stop that reached its limit with work in flight.
-    failed = 70   ///< A task failed; the platform replaces the instance.
-};
-
 /// Root of the tree. A task that throws ends the process, so that the platform replaces it: each
 /// task's state is bound to the tickets of this incarnation and can't be rebuilt apart.
 class supervisor
@@ -36,26 +27,26 @@
     /// Starts all tasks. When `addresses_file` isn't empty, writes the bound addresses to it.
     result<void> try_start(std::string const& addresses_file);
     /// Runs until a stop is complete or a task has failed.
-    daemon_exit run();
+    service_exit run();
 
 private:
     void deliver(event const& what);
     void begin_stop();
     void expire_lookups();
     void check_idle();
-    void end(daemon_exit how);
+    void end(service_exit how);
 
     event_loop& loop_;
     daemon_settings& settings_;
     daemon_context context_;
     logger log_{"supervisor"};
-    std::vector<std::unique_ptr<task>> tasks_;
+    task_tree<event> tasks_;
     uv_signal_t terminate_{};
     uv_signal_t interrupt_{};
     timer stop_timer_;
     time_point stop_began_;
     bool stopping_ = false;
-    daemon_exit exit_ = daemon_exit::stopped;
+    service_exit exit_ = service_exit::stopped;
 };
 
 } // namespace burdockstep
--- a/services/burdockstepd/task.hpp
+++ b/services/burdockstepd/task.hpp
@@ -1,12 +1,11 @@
-/// A part of the daemon that owns sockets and state and talks by events.
+/// The daemon's tasks.
 #pragma once
 
 #include "services/burdockstepd/events.hpp"
 
-#include "libraries/core/error.hpp"
+#include "libraries/service/task_tree.hpp"
 
 #include <functional>
-#include <string_view>
 
 namespace burdockstep {
 
@@ -14,18 +13,6 @@
 using event_sink = std::function<void(event)>;
 
 /// One child of the supervisor.
-class task
-{
-public:
-    virtual ~task() = default;
-
-    virtual std::string_view name() const = 0;
-    /// Binds sockets and starts timers.
-    virtual result<void> try_start() = 0;
-    /// Takes an event that any task has posted.
-    virtual void receive(event const& what) = 0;
-    /// True when nothing is in flight, so that the process may end.
-    virtual bool is_idle() const { return true; }
-};
+using task = service_task<event>;
 
 } // namespace burdockstep
