--- /dev/null
+++ b/tests/fakes/listed_members.hpp
@@ -0,0 +1,30 @@
+/// Listed entries for tests.
+#pragma once
+
+#include "libraries/membership/member_directory.hpp"
+
+#include <string>
+#include <vector>
+
+namespace burdockstep::testing {
+
+/// Entry "eN" of the region "armor", with an address of its own for peers.
+inline listed_member sample_member(unsigned number)
+{
+    listed_member member;
+    member.instance = instance_name("e" + std::to_string(number));
+    member.region = region_name("armor");
+    member.peers = {.ip = 100 + number, .port = 7};
+    return member;
+}
+
+/// Entries e0 to e(N-1).
+inline std::vector<listed_member> sample_members(unsigned count)
+{
+    std::vector<listed_member> members;
+    for (unsigned i = 0; i < count; ++i)
+        members.push_back(sample_member(i));
+    return members;
+}
+
+} // namespace burdockstep::testing
--- a/tests/unit/member_directory_test.cpp
+++ b/tests/unit/member_directory_test.cpp
@@ -1,33 +1,17 @@
 #include "libraries/membership/member_directory.hpp"
 
 #include "tests/fakes/harness.hpp"
+#include "tests/fakes/listed_members.hpp"
 
 using namespace burdockstep;
 using namespace burdockstep::testing;
 
 namespace {
 
-listed_member listed(unsigned number)
-{
-    listed_member member;
-    member.instance = instance_name("e" + std::to_string(number));
-    member.region = region_name("armor");
-    member.peers = {.ip = 100 + number, .port = 7};
-    return member;
-}
-
-std::vector<listed_member> list_of(unsigned count)
-{
-    std::vector<listed_member> members;
-    for (unsigned i = 0; i < count; ++i)
-        members.push_back(listed(i));
-    return members;
-}
-
 member_view view_of(member_directory const& directory, unsigned number)
 {
     for (member_view const& each : directory.members()) {
-        if (each.listed.instance == listed(number).instance)
+        if (each.listed.instance == sample_member(number).instance)
             return each;
     }
     return {};
@@ -43,9 +27,9 @@
     member_directory make(unsigned number, unsigned count, std::uint64_t incarnation)
     {
         member_directory directory(
-            options, listed(number).instance,
+            options, sample_member(number).instance,
             {.incarnation = incarnation_id(incarnation), .started_ms = incarnation}, now);
-        directory.take_list(list_of(count), now);
+        directory.take_list(sample_members(count), now);
         directory.set_own(wire::member_state::serving, epoch_number(1), configuration_version(1));
         return directory;
     }
@@ -138,9 +122,9 @@
 TEST(member_directory, unlisted_addresses_are_not_peers)
 {
     member_directory a = make(0, 2, 10);
-    CHECK(a.is_listed_peer(listed(1).peers));
+    CHECK(a.is_listed_peer(sample_member(1).peers));
     CHECK(!a.is_listed_peer({.ip = 101, .port = 8}));
-    CHECK(!a.is_listed_peer(listed(5).peers));
+    CHECK(!a.is_listed_peer(sample_member(5).peers));
 }
 
 TEST(member_directory, record_of_an_unlisted_instance_is_ignored)
--- a/tests/unit/registry_news_test.cpp
+++ b/tests/unit/registry_news_test.cpp
@@ -119,6 +119,7 @@
     auto const pieces = make_news(1, 2, many);
     LONGS_EQUAL(1, pieces.size());
     CHECK(!pieces.front().complete);
+    CHECK(wire::encode(pieces.front()).size() <= wire::largest_datagram_bytes);
 }
 
 TEST(registry_news, a_whole_read_is_told_as_what_differs)
