entry: a drained region stays drained while the other regions have no room

Cause of the KNOWN-RED entry of the planned-stop test, found by printing the entries' shift figures beside the upstreams' counts on a build with -O0, three busy processes beside it (load 12):

With the whole load the shift is complete at the check (moved_out 1.00), but then the other region's pool is full for moments. Requests that are refused for that counted as arrivals that had stayed, so the shifted fraction fell (to 0.56 and 0.64 in two runs), the limit fell below 1, and requests reached the drained upstreams again (14 and 18 in 4 s). A planned drain came undone under load.

Test: entry_engine, drained_region_runs_nothing_again_when_the_other_region_has_ no_room, red before (100 of 100 requests run locally in the second after), green after.

--- a/libraries/entry/entry_routing.cpp
+++ b/libraries/entry/entry_routing.cpp
@@ -98,11 +98,9 @@
                              call.arrival.route != call_route::spilled;
     if (pool_drains && spill(call, now, out))
         return;
-    bool const fully_drained =
-        pool_drains &&
-        shift_governors_by_service_.at(call.arrival.service).outward.shifted_fraction_limit() >=
-            1.0;
-    if (fully_drained) {
+    shift_limiter& outward = shift_governors_by_service_.at(call.arrival.service).outward;
+    if (pool_drains && outward.shifted_fraction_limit() >= 1.0) {
+        outward.note_refused();
         refuse_waiting(call, refusal_reason::no_room, out);
         return;
     }
--- a/libraries/steering/shift_limiter.cpp
+++ b/libraries/steering/shift_limiter.cpp
@@ -32,13 +32,15 @@
 
 void shift_limiter::finish_step(time_point now)
 {
-    auto const shifted = static_cast<double>(shifted_requests_ + shifted_by_other_entries_);
+    auto const shifted =
+        static_cast<double>(shifted_requests_ + shifted_by_other_entries_ + refused_requests_);
     last_shifted_fraction_ = std::min(1.0, shifted / static_cast<double>(step_arrivals_));
     last_step_arrivals_ = step_arrivals_;
     step_start_ = now;
     step_arrivals_ = 0;
     shifted_requests_ = 0;
     shifted_by_other_entries_ = 0;
+    refused_requests_ = 0;
 }
 
 double shift_limiter::shifted_fraction_limit() const
--- a/libraries/steering/shift_limiter.hpp
+++ b/libraries/steering/shift_limiter.hpp
@@ -32,6 +32,9 @@
     /// Counts a request that another entry has shifted to this region. It is part of the shifted
     /// fraction, so if its callers start to call this region directly, that isn't a further shift.
     void note_shifted_by_other_entry() { ++shifted_by_other_entries_; }
+    /// Counts a request that was refused although it could be shifted, because the other regions
+    /// had no room. It isn't served here, so it doesn't lower the shifted fraction.
+    void note_refused() { ++refused_requests_; }
     /// Counts one shifted request, or returns false if this step's limit is reached.
     bool try_shift();
 
@@ -55,6 +58,7 @@
     /// Number of requests that this entry has shifted between regions since the current step began.
     std::uint64_t shifted_requests_ = 0;
     std::uint64_t shifted_by_other_entries_ = 0; ///< Received in the current step.
+    std::uint64_t refused_requests_ = 0;         ///< Not shifted for lack of room in this step.
 };
 
 } // namespace burdockstep
--- a/tests/unit/entry_engine_test.cpp
+++ b/tests/unit/entry_engine_test.cpp
@@ -76,6 +76,41 @@
         return generate_ticket(incarnation, epoch_number(1), random);
     }
 
+    /// What became of the calls of one second.
+    struct calls_of_a_second
+    {
+        unsigned spilled = 0;
+        unsigned run_locally = 0;
+    };
+    std::uint64_t last_call = 0;
+
+    /// Makes 100 calls, each of which ends before the next one, and advances time by a second.
+    calls_of_a_second make_calls_for_a_second()
+    {
+        calls_of_a_second counts;
+        for (int i = 0; i < 100; ++i) {
+            std::uint64_t const number = ++last_call;
+            auto const commands = handle_arrival(number, "levels");
+            counts.spilled += find_command<send_peer>(commands) != nullptr ? 1 : 0;
+            counts.run_locally += find_command<send_upstream>(commands) != nullptr ? 1 : 0;
+            engine.handle_answer_head(request_id(number), answer_head_kind::answer, now);
+            end_send(number, send_end::complete);
+            now += ms(10);
+        }
+        return counts;
+    }
+
+    void drain_own_region()
+    {
+        auto new_configuration = std::make_shared<configuration_in_force>();
+        new_configuration->version = configuration_version(2);
+        new_configuration->document = std::make_shared<deployment const>(
+            *read_deployment("a", sample_deployment() + "[[drain]]\nscope = \"region\"\n"
+                                                        "name = \"armor\"\nreason = \"work\"\n")
+                 .document);
+        engine.apply_configuration(new_configuration, now);
+    }
+
     entry_engine::commands end_send(std::uint64_t id, send_end send_result)
     {
         return engine.handle_send_end(request_id(id), send_result,
@@ -324,33 +359,39 @@
 
 TEST(entry_engine, drained_region_spills_within_the_shift_cap_until_it_runs_nothing)
 {
-    auto new_configuration = std::make_shared<configuration_in_force>();
-    new_configuration->version = configuration_version(2);
-    new_configuration->document = std::make_shared<deployment const>(
-        *read_deployment("a", sample_deployment() + "[[drain]]\nscope = \"region\"\n"
-                                                    "name = \"armor\"\nreason = \"work\"\n")
-             .document);
-    engine.apply_configuration(new_configuration, now);
-    unsigned run_locally_in_last_second = 0;
+    drain_own_region();
+    calls_of_a_second last;
     double previous_share = 0;
-    std::uint64_t id = 0;
     for (int second = 0; second < 7; ++second) {
-        unsigned spilled_calls = 0;
-        run_locally_in_last_second = 0;
-        for (int i = 0; i < 100; ++i) {
-            std::uint64_t const number = ++id;
-            auto const commands = handle_arrival(number, "levels");
-            spilled_calls += find_command<send_peer>(commands) != nullptr ? 1 : 0;
-            run_locally_in_last_second += find_command<send_upstream>(commands) != nullptr ? 1 : 0;
-            engine.handle_answer_head(request_id(number), answer_head_kind::answer, now);
-            end_send(number, send_end::complete);
-            now += ms(10);
-        }
-        CHECK(spilled_calls / 100.0 <= previous_share + 0.2 + 1e-6);
-        previous_share = spilled_calls / 100.0;
+        last = make_calls_for_a_second();
+        CHECK(last.spilled / 100.0 <= previous_share + 0.2 + 1e-6);
+        previous_share = last.spilled / 100.0;
     }
     DOUBLES_EQUAL(1.0, previous_share, 1e-6);
-    LONGS_EQUAL(0, run_locally_in_last_second);
+    LONGS_EQUAL(0, last.run_locally);
+}
+
+TEST(entry_engine, drained_region_runs_nothing_again_when_the_other_region_has_no_room)
+{
+    drain_own_region();
+    for (int second = 0; second < 7; ++second)
+        make_calls_for_a_second();
+    wire::pool_report report{.service = wire::name_text("levels"),
+                             .region = wire::name_text("ille"),
+                             .incarnation = peer_incarnation.get(),
+                             .slots = 2,
+                             .in_flight = 2};
+    for (int second = 0; second < 4; ++second) {
+        engine.record_pool_report(report, now);
+        calls_of_a_second const refused = make_calls_for_a_second();
+        LONGS_EQUAL(0, refused.run_locally);
+        LONGS_EQUAL(0, refused.spilled);
+    }
+    report.in_flight = 0;
+    engine.record_pool_report(report, now);
+    calls_of_a_second const spilled = make_calls_for_a_second();
+    LONGS_EQUAL(0, spilled.run_locally);
+    LONGS_EQUAL(100, spilled.spilled);
 }
 
 TEST(entry_engine, unknown_service_is_not_run)
--- a/utilities/burdockstep_standin/upstream_standin.hpp
+++ b/utilities/burdockstep_standin/upstream_standin.hpp
@@ -58,6 +58,11 @@
     void silence_open_connections();
     std::uint64_t answered() const { return answered_; }
     std::uint32_t busy_slots() const { return busy_slots_; }
+    /// Number of requests that were received, whether they were run or not.
+    std::uint64_t arrivals() const { return next_request_number_ - 1; }
+    /// Number of requests that were received and aren't answered yet: on the simulated network,
+    /// queued or being processed.
+    std::size_t in_progress() const { return active_requests_.size(); }
 
 private:
     struct active_request
--- a/utilities/burdockstep_standin/upstreams_standin.cpp
+++ b/utilities/burdockstep_standin/upstreams_standin.cpp
@@ -86,7 +86,10 @@
     json::object upstreams;
     for (auto const& each : upstream_standins_)
         upstreams[each->definition().name.get()] =
-            json::object{{"answered", each->answered()}, {"busy", each->busy_slots()}};
+            json::object{{"answered", each->answered()},
+                         {"busy", each->busy_slots()},
+                         {"arrivals", each->arrivals()},
+                         {"in_progress", each->in_progress()}};
     json::object const body{{"requests", run_counts_.size()},
                             {"run_more_than_once", repeated_requests},
                             {"upstreams", std::move(upstreams)}};
