http1: answers without end are bounded in bytes, time and memory

A server in trouble may send bytes without end. Read and then shown by tests against the code before: three kinds kept a call running until its deadline, or for ever for calls without one (health probes, whose answer timeout begins anew with each byte, so that the upstream was never probed again): interim answers, answers to other requests, and the body of an answer to another request. Bodies of 32 MB for each of several calls together also pass the memory of a small instance.

A call now ends as broken after max_call_bytes of any kind, after call_timeout from its start, and when the incomplete bodies of all calls together pass max_buffered_bytes (then the call with the largest body). The client also tells the head of each final answer that arrives on a call's connection, skipped or not, and counts why connections are opened.

Tests: group endless_answer, 13 cases.

--- a/libraries/http1/client.cpp
+++ b/libraries/http1/client.cpp
@@ -38,6 +38,7 @@
         if (found == calls_.end())
             return;
         owned_connection owned = std::move(found->second.connection);
+        buffered_bytes_ -= result.body.size();
         result_handler const handler = std::move(found->second.handler);
         calls_.erase(found);
         auto& idle_connections = idle_connections_[owned->to()];
@@ -66,18 +67,37 @@
 
     void on_answer_skipped() override { ++counters_.answers_skipped; }
 
+    void on_body_growth(client_connection& connection, std::size_t added_bytes) override
+    {
+        buffered_bytes_ += added_bytes;
+        if (buffered_bytes_ <= limits_.max_buffered_bytes)
+            return;
+        client_connection* largest = &connection;
+        for (auto const& [number, each] : calls_) {
+            if (each.connection->buffered_bytes() > largest->buffered_bytes())
+                largest = each.connection.get();
+        }
+        ++counters_.answers_dropped_for_memory;
+        largest->break_call();
+    }
+
     /// Takes the most recently used idle connection, so that surplus ones expire. Returns null if
     /// there is none that the call may use.
     owned_connection take_idle_connection(call_options const& options)
     {
         auto const found = idle_connections_.find(options.to);
-        if (found == idle_connections_.end() || found->second.empty())
+        if (found == idle_connections_.end() || found->second.empty()) {
+            ++counters_.opened_none_idle;
             return nullptr;
+        }
         time_point const now = clock_.now();
         client_connection const& most_recently_used = *found->second.back();
         if (now >= most_recently_used.expires_at() ||
-            now - most_recently_used.idle_since() > options.max_idle_time)
+            now - most_recently_used.idle_since() > options.max_idle_time) {
+            ++counters_.opened_idle_too_long;
             return nullptr;
+        }
+        ++counters_.connections_reused;
         owned_connection reused_connection = std::move(found->second.back());
         found->second.pop_back();
         return reused_connection;
@@ -105,6 +125,7 @@
     std::map<address, std::vector<owned_connection>> idle_connections_;
     std::unordered_map<call_number, call> calls_;
     std::uint64_t last_call_number_ = 0;
+    std::size_t buffered_bytes_ = 0; ///< Size of the incomplete bodies in `calls_`.
     client_counters counters_;
 };
 
@@ -135,6 +156,7 @@
     auto const found = state_->calls_.find(call);
     if (found == state_->calls_.end())
         return;
+    state_->buffered_bytes_ -= found->second.connection->buffered_bytes();
     state_->destroy_from_loop(std::move(found->second.connection));
     state_->calls_.erase(found);
 }
--- a/libraries/http1/client.hpp
+++ b/libraries/http1/client.hpp
@@ -54,6 +54,12 @@
     duration connect_timeout = std::chrono::milliseconds(500);
     /// The call is broken if no byte of an answer arrives for this long; zero disables the check.
     duration answer_timeout{};
+    /// The call is broken if its answer isn't complete this long after its start; zero disables the
+    /// check. Unlike `answer_timeout`, it also ends a call whose server sends bytes without end.
+    duration call_timeout{};
+    /// Receives the head of each final answer that arrives on the call's connection until the next
+    /// call starts there, even if the answer belongs to another request or is never completed.
+    std::function<void(message_head const&)> on_any_head;
 };
 
 /// Limits of an HTTP/1.1 client.
@@ -61,6 +67,11 @@
 {
     std::size_t max_head_bytes = std::size_t{32} * 1024;
     std::size_t max_body_bytes = std::size_t{32} * 1024 * 1024;
+    /// Maximum number of bytes that arrive during one call, including framing and skipped answers.
+    std::size_t max_call_bytes = std::size_t{64} * 1024 * 1024;
+    /// Maximum size of the incomplete bodies of all calls together. Beyond it, the call with the
+    /// largest one is broken.
+    std::size_t max_buffered_bytes = std::size_t{64} * 1024 * 1024;
     /// Maximum number of idle connections per address.
     std::size_t max_idle_connections = 32;
     /// An idle connection is closed this long before the server's announced keep-alive timeout.
@@ -78,6 +89,13 @@
     /// Answers skipped as belonging to other requests: their `answer_id` header field doesn't match
     /// the call or, on a reused connection, is missing. Interim answers (status 1xx) don't count.
     std::uint64_t answers_skipped = 0;
+    /// Calls that were broken because their bodies together passed `max_buffered_bytes`.
+    std::uint64_t answers_dropped_for_memory = 0;
+    std::uint64_t connections_reused = 0;
+    /// New connections because none to the address was idle.
+    std::uint64_t opened_none_idle = 0;
+    /// New connections because the idle ones had expired or were idle for too long for the call.
+    std::uint64_t opened_idle_too_long = 0;
 };
 
 /// Runs HTTP calls on an event loop. A connection carries one request at a time.
--- a/libraries/http1/client_connection.cpp
+++ b/libraries/http1/client_connection.cpp
@@ -25,7 +25,7 @@
                                      address to)
     : clock_(clock), limits_(limits), owner_(connection_owner), to_(to), socket_(loop, *this),
       reader_(message_kind::answers, limits.max_head_bytes, *this), timeout_timer_(loop),
-      keep_alive_time_(limits.idle_timeout)
+      call_timer_(loop), keep_alive_time_(limits.idle_timeout)
 {}
 
 void client_connection::start(call_number call, call_options options)
@@ -35,6 +35,10 @@
     result_ = {};
     result_.to = to_;
     result_.on_reused_connection = has_ended_a_call_;
+    on_any_head_ = options_->on_any_head;
+    call_bytes_ = 0;
+    if (options_->call_timeout > duration::zero())
+        call_timer_.start_once(options_->call_timeout, [this] { break_call(); });
     if (connected_) {
         send_request();
         return;
@@ -83,6 +87,11 @@
         owner_.on_idle_connection_end(*this);
         return;
     }
+    call_bytes_ += bytes.size();
+    if (call_bytes_ > limits_.max_call_bytes) {
+        end_call(call_end::broken);
+        return;
+    }
     restart_answer_timeout();
     bool const readable = reader_.read(bytes);
     if (!readable && options_)
@@ -102,6 +111,8 @@
 
 void client_connection::on_head(message_head head)
 {
+    if (on_any_head_ && head.status >= first_final_status)
+        on_any_head_(head);
     // Without a call under way, this answer belongs to no request.
     got_unrequested_answer_ = !options_;
     skipping_answer_ = !options_ || head.status < first_final_status || !is_own_answer(head);
@@ -140,6 +151,7 @@
         return;
     }
     result_.body.append(bytes);
+    owner_.on_body_growth(*this, bytes.size());
 }
 
 void client_connection::on_message_end()
@@ -168,9 +180,16 @@
         end_call(call_end::broken);
 }
 
+void client_connection::break_call()
+{
+    if (options_)
+        end_call(connected_ ? call_end::broken : call_end::not_connected);
+}
+
 void client_connection::end_call(call_end end)
 {
     timeout_timer_.stop();
+    call_timer_.stop();
     options_.reset();
     has_ended_a_call_ = true;
     idle_since_ = clock_.now();
--- a/libraries/http1/client_connection.hpp
+++ b/libraries/http1/client_connection.hpp
@@ -22,6 +22,8 @@
         /// Called when the connection ends or receives bytes while it carries no call.
         virtual void on_idle_connection_end(client_connection& connection) = 0;
         virtual void on_answer_skipped() = 0;
+        /// Called when the size of the current call's incomplete body has grown.
+        virtual void on_body_growth(client_connection& connection, std::size_t added_bytes) = 0;
     };
 
     client_connection(event_loop& loop, clock_source const& clock, client_limits const& limits,
@@ -29,6 +31,10 @@
 
     /// Starts a call. Connects first if the connection is new.
     void start(call_number call, call_options options);
+    /// Ends the current call before its answer is complete. Does nothing if there is none.
+    void break_call();
+    /// Size of the current call's incomplete body.
+    std::size_t buffered_bytes() const { return result_.body.size(); }
     /// Prevents the connection from being reused after its current call.
     void disallow_reuse() { reuse_disallowed_ = true; }
 
@@ -59,9 +65,12 @@
     stream_socket socket_;
     message_reader reader_;
     timer timeout_timer_; ///< Limits the connect, then the wait for the answer.
+    timer call_timer_;    ///< Limits the whole call.
     call_number call_;
     std::optional<call_options> options_; ///< Options of the current call; empty while idle.
     call_result result_;
+    std::function<void(message_head const&)> on_any_head_; ///< From the last call's options.
+    std::size_t call_bytes_ = 0; ///< Bytes that have arrived during the current call.
     time_point connect_started_at_;
     time_point idle_since_;
     time_point expires_at_;
--- a/tests/fakes/raw_sockets.cpp
+++ b/tests/fakes/raw_sockets.cpp
@@ -11,17 +11,6 @@
 
 namespace {
 
-/// Sends bytes until the peer accepts no more. Errors are ignored: the next read reports them.
-void send_all(int connection, std::string_view bytes)
-{
-    while (!bytes.empty()) {
-        ssize_t const sent = ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        if (sent <= 0)
-            return;
-        bytes.remove_prefix(static_cast<std::size_t>(sent));
-    }
-}
-
 /// Gives the peer time to read the sent bytes, which a reset would discard.
 constexpr unsigned reset_delay_us = 50'000;
 
@@ -32,6 +21,32 @@
     return {.ip = 0x7f000001, .port = 0};
 }
 
+loopback_listener open_loopback_listener()
+{
+    loopback_listener opened{.descriptor = socket(AF_INET, SOCK_STREAM, 0), .at = {}};
+    sockaddr_in socket_address = loopback_any_port().to_sockaddr();
+    // An exception rather than a CHECK: programs without the unit-test harness link this file too.
+    bool const bound = ::bind(opened.descriptor, reinterpret_cast<sockaddr*>(&socket_address),
+                              sizeof socket_address) == 0;
+    if (!bound || listen(opened.descriptor, 4) != 0)
+        throw std::runtime_error("no port of 127.0.0.1 can be bound");
+    socklen_t size = sizeof socket_address;
+    getsockname(opened.descriptor, reinterpret_cast<sockaddr*>(&socket_address), &size);
+    opened.at = address::from_sockaddr(reinterpret_cast<sockaddr const&>(socket_address));
+    return opened;
+}
+
+bool send_all(int connection, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        ssize_t const sent = ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent <= 0)
+            return false;
+        bytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+    return true;
+}
+
 raw_server::raw_server(std::string answer)
     : raw_server(std::vector<std::vector<std::string>>{{std::move(answer)}}, raw_server_end::close)
 {}
@@ -39,16 +54,9 @@
 raw_server::raw_server(std::vector<std::vector<std::string>> connections, raw_server_end end)
     : answers_by_connection_(std::move(connections)), end_(end)
 {
-    listener_ = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in socket_address = loopback_any_port().to_sockaddr();
-    // An exception rather than a CHECK: programs without the unit-test harness link this file too.
-    bool const bound =
-        ::bind(listener_, reinterpret_cast<sockaddr*>(&socket_address), sizeof socket_address) == 0;
-    if (!bound || listen(listener_, 4) != 0)
-        throw std::runtime_error("raw_server can't listen on 127.0.0.1");
-    socklen_t size = sizeof socket_address;
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&socket_address), &size);
-    at_ = address::from_sockaddr(reinterpret_cast<sockaddr const&>(socket_address));
+    loopback_listener const opened = open_loopback_listener();
+    listener_ = opened.descriptor;
+    at_ = opened.at;
     thread_ = std::thread([this] { serve_connections(); });
 }
 
@@ -81,7 +89,7 @@
     for (std::string const& answer : answers_to_send) {
         if (read(connection, buffer.data(), buffer.size()) <= 0)
             break;
-        send_all(connection, answer);
+        send_all(connection, answer); // An error is reported by the next read.
     }
     if (end_ == raw_server_end::reset) {
         usleep(reset_delay_us);
--- a/tests/fakes/raw_sockets.hpp
+++ b/tests/fakes/raw_sockets.hpp
@@ -14,6 +14,19 @@
 /// 127.0.0.1 and port 0: the system picks a free port when it is bound.
 address loopback_any_port();
 
+/// A listening socket on a free port of 127.0.0.1. The code that opens it closes `descriptor`.
+struct loopback_listener
+{
+    int descriptor = -1;
+    address at;
+};
+
+/// Throws when no port can be bound.
+loopback_listener open_loopback_listener();
+
+/// Sends bytes until all are sent or the peer accepts no more. Returns false in the second case.
+bool send_all(int connection, std::string_view bytes);
+
 /// How a `raw_server` ends a connection after its last answer.
 enum class raw_server_end
 {
--- /dev/null
+++ b/tests/unit/endless_answer_test.cpp
@@ -0,0 +1,182 @@
+#include "libraries/http1/client.hpp"
+
+#include "tests/fakes/endless_server.hpp"
+#include "tests/fakes/harness.hpp"
+
+#include <memory>
+#include <optional>
+
+using namespace burdockstep;
+using namespace burdockstep::testing;
+
+namespace {
+
+constexpr char const* head_with_own_id = "HTTP/1.1 200 OK\r\nX-Id: mine\r\n";
+
+/// A large part, sent again and again, keeps the number of system calls low.
+std::string repeated(std::string const& part, std::size_t count)
+{
+    std::string text;
+    for (std::size_t i = 0; i < count; ++i)
+        text += part;
+    return text;
+}
+
+} // namespace
+
+TEST_GROUP(endless_answer)
+{
+    event_loop loop;
+    system_clock_source clock;
+    std::unique_ptr<http1::client> client;
+
+    void setup() override
+    {
+        client = std::make_unique<http1::client>(
+            loop, clock,
+            http1::client_limits{.max_body_bytes = 256 * 1024, .max_call_bytes = 1024 * 1024});
+    }
+
+    void teardown() override
+    {
+        client.reset();
+    }
+
+    /// Calls a server that sends `start` once and then `part` without end. Returns nothing if the
+    /// call hasn't ended by itself after three seconds.
+    std::optional<http1::call_end> call_endless_server(std::string const& start,
+                                                       std::string const& part)
+    {
+        endless_server const server(start, part);
+        std::optional<http1::call_end> end;
+        client->start({.to = server.at(),
+                       .headers = {},
+                       .body = {},
+                       .answer_id = {.name = "x-id", .value = "mine"}},
+                      [&](http1::call_result const& result) {
+                          end = result.end;
+                          loop.stop();
+                      });
+        timer time_limit(loop);
+        time_limit.start_once(std::chrono::seconds(3), [&] { loop.stop(); });
+        loop.run();
+        client.reset();
+        return end;
+    }
+};
+
+TEST(endless_answer, bytes_that_are_no_http_end_the_call)
+{
+    CHECK(call_endless_server("", repeated("noise ", 1'000)) == http1::call_end::broken);
+}
+
+TEST(endless_answer, header_without_end_ends_the_call)
+{
+    CHECK(call_endless_server("HTTP/1.1 200 OK\r\nX-Long: ", repeated("a", 4'096)) ==
+          http1::call_end::broken);
+}
+
+TEST(endless_answer, headers_without_end_end_the_call)
+{
+    CHECK(call_endless_server("HTTP/1.1 200 OK\r\n", repeated("X-A: b\r\n", 500)) ==
+          http1::call_end::broken);
+}
+
+TEST(endless_answer, reason_phrase_without_end_ends_the_call)
+{
+    CHECK(call_endless_server("HTTP/1.1 200 ", repeated("OK ", 1'000)) == http1::call_end::broken);
+}
+
+TEST(endless_answer, body_without_length_and_end_ends_the_call)
+{
+    CHECK(call_endless_server(std::string(head_with_own_id) + "\r\n", repeated("b", 4'096)) ==
+          http1::call_end::broken);
+}
+
+TEST(endless_answer, interim_answers_without_end_end_the_call)
+{
+    CHECK(call_endless_server("", repeated("HTTP/1.1 100 Continue\r\n\r\n", 200)) ==
+          http1::call_end::broken);
+}
+
+TEST(endless_answer, answers_to_other_requests_without_end_end_the_call)
+{
+    CHECK(call_endless_server(
+              "", repeated("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nabc",
+                           100)) == http1::call_end::broken);
+}
+
+TEST(endless_answer, body_of_an_answer_to_another_request_without_end_ends_the_call)
+{
+    CHECK(call_endless_server("HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", repeated("b", 4'096)) ==
+          http1::call_end::broken);
+}
+
+TEST(endless_answer, chunk_extensions_without_end_end_the_call)
+{
+    std::string const start = std::string(head_with_own_id) + "Transfer-Encoding: chunked\r\n\r\n";
+    CHECK(call_endless_server(start, repeated("1;" + std::string(500, 'e') + "\r\nb\r\n", 16)) ==
+          http1::call_end::broken);
+    setup();
+    CHECK(call_endless_server(start + "1;", repeated("e", 4'096)) == http1::call_end::broken);
+}
+
+TEST(endless_answer, trailers_without_end_end_the_call)
+{
+    std::string const start =
+        std::string(head_with_own_id) + "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+    CHECK(call_endless_server(start, repeated("X-A: b\r\n", 500)) == http1::call_end::broken);
+}
+
+TEST(endless_answer, bytes_that_follow_a_complete_answer_are_not_read)
+{
+    CHECK(call_endless_server(std::string(head_with_own_id) + "Content-Length: 3\r\n\r\nabc",
+                              repeated("more ", 1'000)) == http1::call_end::complete);
+}
+
+TEST(endless_answer, slow_bytes_without_end_end_the_call_at_its_time_limit)
+{
+    endless_server const server(std::string(head_with_own_id) + "\r\n", "b", ms(5));
+    std::optional<http1::call_end> end;
+    client->start({.to = server.at(),
+                   .headers = {},
+                   .body = {},
+                   .answer_id = {},
+                   .answer_timeout = ms(1'000),
+                   .call_timeout = ms(200)},
+                  [&](http1::call_result const& result) {
+                      end = result.end;
+                      loop.stop();
+                  });
+    timer time_limit(loop);
+    time_limit.start_once(std::chrono::seconds(3), [&] { loop.stop(); });
+    loop.run();
+    client.reset();
+    CHECK(end == http1::call_end::broken);
+}
+
+TEST(endless_answer, bodies_of_all_calls_together_are_bounded_by_ending_the_largest)
+{
+    client = std::make_unique<http1::client>(
+        loop, clock, http1::client_limits{.max_buffered_bytes = 512 * 1024});
+    std::string const start = std::string(head_with_own_id) + "\r\n";
+    endless_server const fast(start, repeated("b", 4'096));
+    endless_server const slow(start, "b", ms(5));
+    auto const call_to = [](endless_server const& server) {
+        return http1::call_options{.to = server.at(), .headers = {}, .body = {}, .answer_id = {}};
+    };
+    std::optional<http1::call_end> fast_end;
+    bool slow_ended = false;
+    client->start(call_to(slow), [&](http1::call_result const&) { slow_ended = true; });
+    client->start(call_to(fast), [&](http1::call_result const& result) {
+        fast_end = result.end;
+        loop.stop();
+    });
+    timer time_limit(loop);
+    time_limit.start_once(std::chrono::seconds(3), [&] { loop.stop(); });
+    loop.run();
+    LONGS_EQUAL(1, client->counters().answers_dropped_for_memory);
+    client.reset();
+    CHECK(fast_end == http1::call_end::broken);
+    CHECK(!slow_ended);
+}
--- a/tests/unit/http1_client_test.cpp
+++ b/tests/unit/http1_client_test.cpp
@@ -161,3 +161,18 @@
     CHECK(call_and_wait(std::move(options)).end == http1::call_end::broken);
     client.reset();
 }
+
+TEST(http1_client, heads_of_all_final_answers_on_the_connection_are_reported)
+{
+    std::string const interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    std::string const truncated = "HTTP/1.1 500 Oops\r\nX-Id: mine\r\nContent-Length: 9\r\n\r\nab";
+    raw_server const server({{interim + answer_with_another_id + truncated}},
+                            raw_server_end::close);
+    std::vector<int> statuses;
+    auto options = call_to(server.at());
+    options.on_any_head = [&](http1::message_head const& head) { statuses.push_back(head.status); };
+    CHECK(call_and_wait(std::move(options)).end == http1::call_end::broken);
+    LONGS_EQUAL(2, statuses.size());
+    LONGS_EQUAL(200, statuses.front());
+    LONGS_EQUAL(500, statuses.back());
+}
