--- a/libraries/configuration/gateway_settings.cpp
+++ b/libraries/configuration/gateway_settings.cpp
@@ -13,6 +13,8 @@
 constexpr double default_retry_slack = 20;
 constexpr std::int64_t default_retry_window_s = 10;
 constexpr double default_max_region_shift_share = 0.15;
+constexpr std::int64_t default_memory_mb = 256;
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
 
 void read_instance(table_reader& table, gateway_settings& settings)
 {
@@ -45,6 +47,9 @@
         "retry_window_s", {.lowest = 1, .highest = 3'600}, default_retry_window_s));
     settings.max_region_shift_share =
         table.number_or("most_shift", {.lowest = 0, .highest = 1}, default_max_region_shift_share);
+    settings.memory_bytes =
+        bytes_per_mb * static_cast<std::size_t>(table.integer_or(
+                           "memory_mb", {.lowest = 32, .highest = 1'048'576}, default_memory_mb));
     table.report_unknown_keys();
 }
 
--- a/libraries/discovery/registry_update.cpp
+++ b/libraries/discovery/registry_update.cpp
@@ -1,6 +1,7 @@
 #include "libraries/discovery/registry_update.hpp"
 
 #include "libraries/core/digest.hpp"
+#include "libraries/wire/codec.hpp"
 
 #include <algorithm>
 #include <map>
@@ -19,16 +20,28 @@
 /// readers.
 constexpr std::size_t max_incomplete_updates = 4;
 
+/// Encoded size of an update without changes, rounded up.
+constexpr std::size_t update_overhead_bytes = 64;
+/// Encoded size of a change without its names, rounded up.
+constexpr std::size_t change_overhead_bytes = 64;
+constexpr std::size_t max_change_bytes_per_piece = wire::max_datagram_bytes - update_overhead_bytes;
+
+std::size_t max_encoded_size(wire::registration_change_record const& change)
+{
+    return change_overhead_bytes + change.name.get().size() + change.service.get().size() +
+           change.place.get().size();
+}
+
 wire::registration_change_record to_wire(registration_change const& change)
 {
     wire::registration_change_record announced;
-    announced.name = wire::name_text(change.name.get());
+    announced.name = wire::registry_text(change.name.get());
     announced.state = wire::registration_state::gone;
     if (!change.registration)
         return announced;
     upstream_registration const& registration = *change.registration;
-    announced.service = wire::name_text(registration.service.get());
-    announced.place = wire::name_text(registration.place.get());
+    announced.service = wire::registry_text(registration.service.get());
+    announced.place = wire::registry_text(registration.place.get());
     announced.at = registration.at;
     announced.slots = registration.slots.get();
     announced.state = registration.state == upstream_state::ready
@@ -123,10 +136,17 @@
     wire::registry_update_message const empty_piece{
         .after = after, .version = version, .changes = {}};
     std::vector<wire::registry_update_message> pieces{empty_piece};
+    std::size_t piece_bytes = 0;
     for (registration_change const& each : changes) {
-        if (pieces.back().changes.is_full())
+        wire::registration_change_record record = to_wire(each);
+        std::size_t const record_bytes = max_encoded_size(record);
+        bool const is_oversized = piece_bytes + record_bytes > max_change_bytes_per_piece;
+        if (pieces.back().changes.is_full() || is_oversized) {
             pieces.push_back(empty_piece);
-        pieces.back().changes.add(to_wire(each));
+            piece_bytes = 0;
+        }
+        pieces.back().changes.add(std::move(record));
+        piece_bytes += record_bytes;
     }
     if (pieces.size() > max_pieces) {
         pieces = {empty_piece};
--- a/libraries/discovery/upstream_registration.hpp
+++ b/libraries/discovery/upstream_registration.hpp
@@ -31,6 +31,8 @@
     std::int64_t heartbeat = 0;  ///< Increases with each write of the same incarnation.
     std::int64_t started_ms = 0; ///< Wall clock time of its start; 0 when not reported.
 
+    upstream_incarnation incarnation() const { return upstream_incarnation(started_ms); }
+
     friend bool operator==(upstream_registration const&, upstream_registration const&) = default;
 };
 
--- a/libraries/discovery/upstream_registry.cpp
+++ b/libraries/discovery/upstream_registry.cpp
@@ -82,12 +82,15 @@
                  .cold_until = {},
                  .removed_at = {}};
         known.evacuated = evacuated_places_.contains(registration.place);
+        known.draining = has_leaving_mark(registration);
         ++change_count_;
     }
     if (!is_replacement && registration.heartbeat < known.registration.heartbeat)
         return; // An older write of the same incarnation.
     bool const reports_draining = registration.state == upstream_state::draining;
     bool const was_usable = known.is_usable();
+    if (reports_draining)
+        keep_leaving_mark(registration.name, registration.incarnation(), now);
     known.draining = known.draining || reports_draining;
     known.removed = false;
     if (registration.cold_left > duration::zero())
@@ -114,6 +117,13 @@
         }));
 }
 
+std::size_t upstream_registry::count_usable() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(upstreams_.begin(), upstreams_.end(),
+                      [](auto const& item) { return item.second.is_usable(); }));
+}
+
 std::size_t upstream_registry::count_usable(service_name const& service) const
 {
     return static_cast<std::size_t>(
@@ -151,11 +161,36 @@
     recovery_grace_end_ = now + options_.store_recovery_grace;
 }
 
-bool upstream_registry::mark_leaving(upstream_name const& name)
+bool upstream_registry::has_leaving_mark(upstream_registration const& registration) const
 {
+    // Without a start time, a new incarnation can't be told from the marked one.
+    if (registration.incarnation() == upstream_incarnation{})
+        return false;
+    auto const found = leaving_marks_.find(registration.name);
+    return found != leaving_marks_.end() && found->second.incarnation == registration.incarnation();
+}
+
+void upstream_registry::keep_leaving_mark(upstream_name const& name,
+                                          upstream_incarnation incarnation, time_point now)
+{
+    leaving_mark& mark = leaving_marks_[name];
+    if (mark.incarnation <= incarnation)
+        mark = {.incarnation = incarnation, .reported_at = now};
+}
+
+bool upstream_registry::mark_leaving(upstream_name const& name, upstream_incarnation incarnation,
+                                     time_point now)
+{
+    keep_leaving_mark(name, incarnation, now);
     auto const found = upstreams_.find(name);
     if (found == upstreams_.end() || found->second.draining)
         return false;
+    upstream_incarnation const known_incarnation = found->second.registration.incarnation();
+    bool const is_known_incarnation = incarnation == known_incarnation ||
+                                      incarnation == upstream_incarnation{} ||
+                                      known_incarnation == upstream_incarnation{};
+    if (!is_known_incarnation)
+        return false;
     found->second.draining = true;
     ++change_count_;
     return true;
@@ -191,6 +226,9 @@
 {
     std::uint64_t const before = change_count_;
     resolve_missing(now);
+    std::erase_if(leaving_marks_, [&](auto const& item) {
+        return now - item.second.reported_at > options_.leaving_mark_retention;
+    });
     std::erase_if(upstreams_, [&](auto const& item) {
         return item.second.removed &&
                now - item.second.removed_at > options_.removed_upstream_retention;
--- a/libraries/discovery/upstream_registry.hpp
+++ b/libraries/discovery/upstream_registry.hpp
@@ -34,6 +34,9 @@
     /// time: live upstreams write their registrations again within two seconds of the store's
     /// recovery.
     duration store_recovery_grace = std::chrono::milliseconds(2'200);
+    /// An incarnation that was reported as leaving stays unusable for this time, even if its
+    /// registration is lost and written again meanwhile.
+    duration leaving_mark_retention = std::chrono::minutes(10);
     /// A removed upstream is forgotten after this time; by then the requests that were in progress
     /// at it have ended.
     duration removed_upstream_retention = std::chrono::seconds(30);
@@ -60,8 +63,10 @@
     /// Starts the grace period for mass losses. Called when the store answers again after an
     /// outage.
     void note_store_returned(time_point now);
-    /// Marks an upstream as draining. Returns false when it is unknown or already draining.
-    bool mark_leaving(upstream_name const& name);
+    /// Marks one incarnation of an upstream as draining. The mark is kept for an incarnation whose
+    /// registration isn't known yet or is lost for a time. Returns true when a known upstream has
+    /// become unusable by it.
+    bool mark_leaving(upstream_name const& name, upstream_incarnation incarnation, time_point now);
     /// Marks an upstream as cold (still warming up) for the time that it reported in a
     /// health answer.
     void mark_cold(upstream_name const& name, duration cold_time_left, time_point now);
@@ -73,11 +78,24 @@
     bool expire(time_point now);
 
     std::map<upstream_name, known_upstream> const& upstreams() const { return upstreams_; }
+    /// Number of upstreams that may receive requests.
+    std::size_t count_usable() const;
     /// Counts the changes so far: new and restarted upstreams, changes of which ones are usable or
     /// of their slots, calls of `mark_cold`, and changed evacuations.
     std::uint64_t changes() const { return change_count_; }
 
 private:
+    /// The newest incarnation of an upstream that was reported as leaving.
+    struct leaving_mark
+    {
+        upstream_incarnation incarnation;
+        time_point reported_at;
+    };
+
+    /// Returns true if this incarnation, whose start is known, was reported as leaving.
+    bool has_leaving_mark(upstream_registration const& registration) const;
+    void keep_leaving_mark(upstream_name const& name, upstream_incarnation incarnation,
+                           time_point now);
     void apply_registration(upstream_registration const& registration, time_point now);
     void mark_missing(upstream_name const& name, time_point now);
     void resolve_missing(time_point now);
@@ -88,6 +106,7 @@
     std::map<place_name, region_name> regions_by_place_;
     std::map<upstream_name, known_upstream> upstreams_;
     std::map<upstream_name, time_point> missing_since_; ///< Registration gone, not removed yet.
+    std::map<upstream_name, leaving_mark> leaving_marks_;
     std::set<place_name> evacuated_places_;
     time_point recovery_grace_end_;
     bool has_snapshot_ = false; ///< The whole registry has been applied at least once.
--- a/libraries/entry/entry_engine.cpp
+++ b/libraries/entry/entry_engine.cpp
@@ -102,7 +102,8 @@
 
 bool entry_engine::mark_leaving(upstream_name const& upstream, time_point sign_time, time_point now)
 {
-    bool const is_new = leaving_upstreams_.record_leaving(upstream, sign_time, now);
+    bool const is_new = leaving_upstreams_.record_leaving(
+        {.upstream = upstream, .incarnation = {}, .reported_at = sign_time}, now);
     update_leaving_upstreams(now);
     return is_new;
 }
@@ -113,7 +114,7 @@
         for (auto& [name, pool] : pools_)
             pool.set_leaving(each, false);
     }
-    for (auto const& [upstream, sign_time] : leaving_upstreams_.last_reports()) {
+    for (auto const& [upstream, report] : leaving_upstreams_.last_reports()) {
         for (auto& [name, pool] : pools_)
             pool.set_leaving(upstream, true);
     }
--- a/libraries/entry/entry_engine.hpp
+++ b/libraries/entry/entry_engine.hpp
@@ -127,8 +127,8 @@
     {
         return shift_governors_by_service_;
     }
-    /// Leaving upstreams, each with the time at which it was last reported as leaving.
-    std::map<upstream_name, time_point> const& leaving() const
+    /// Leaving upstreams, each with the last report of it.
+    std::map<upstream_name, leaving_report> const& leaving() const
     {
         return leaving_upstreams_.last_reports();
     }
--- a/libraries/forwarding/admission.cpp
+++ b/libraries/forwarding/admission.cpp
@@ -50,14 +50,15 @@
     return hold;
 }
 
-duration admission::retry_after(duration time_left)
+duration admission::retry_after(duration until_accepted, duration time_left)
 {
     double const delay_range_s =
         std::chrono::duration<double>(options_.max_retry_delay - options_.min_retry_delay).count();
-    duration const delay = options_.min_retry_delay +
+    duration const delay = until_accepted + options_.min_retry_delay +
                            std::chrono::duration_cast<duration>(std::chrono::duration<double>(
                                delay_range_s * random_.uniform_fraction()));
-    return std::min(delay, scaled(time_left, max_retry_delay_fraction));
+    duration const longest = scaled(time_left, max_retry_delay_fraction);
+    return std::clamp(delay, duration::zero(), std::max(longest, duration::zero()));
 }
 
 } // namespace burdockstep
--- a/libraries/forwarding/admission.hpp
+++ b/libraries/forwarding/admission.hpp
@@ -58,9 +58,10 @@
 
     /// How much longer the request may wait for a slot, or nothing if it must be refused now.
     std::optional<duration> allowed_hold_time(admission_inputs const& inputs) const;
-    /// Time after which a refused caller should retry: drawn at random from the configured range,
-    /// but at most a fixed fraction of `time_left`.
-    duration retry_after(duration time_left);
+    /// Time after which a refused caller should retry: drawn at random from the configured range
+    /// that begins when upstreams accept requests, in `until_accepted`, but at most a fixed
+    /// fraction of `time_left`.
+    duration retry_after(duration until_accepted, duration time_left);
 
 private:
     admission_options options_;
--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -33,25 +33,21 @@
     request.at_upstream = false;
     unschedule(request);
     service_name const service = request.service;
-    auto const tracker = trackers_.find(request.upstream);
-    if (tracker != trackers_.end()) {
-        tracker->second.record_send_end(report, now);
-        mark_count_changed(tracker->second);
-    }
+    ++counters_.send_ends[static_cast<std::size_t>(report.result)];
+    record_send_end(request, report, now);
+    upstream_tracker* const tracker = tracker_of_send(request);
     switch (report.result) {
     case send_result::answered: {
         bool const failed = report.status >= 500;
-        if (!failed && tracker != trackers_.end()) {
-            duration const service_time =
-                now - request.sent_at - expected_round_trip(tracker->second);
+        if (!failed && tracker != nullptr) {
+            duration const service_time = now - request.sent_at - expected_round_trip(*tracker);
             service_pool& pool = pools_.at(service);
             service_time_estimate& estimate = request.object_is_recent
                                                   ? pool.recent_object_service_time
                                                   : pool.new_object_service_time;
             if (estimate.median() > duration::zero()) {
-                tracker->second.record_service_time_ratio(
-                    static_cast<double>(service_time.count()) /
-                    static_cast<double>(estimate.median().count()));
+                tracker->record_service_time_ratio(static_cast<double>(service_time.count()) /
+                                                   static_cast<double>(estimate.median().count()));
             }
             estimate.add_sample(std::max(service_time, duration(1)));
         }
@@ -74,7 +70,8 @@
         handle_not_run(request, not_run_evidence::from_refusal(), refusal::no_room, now, out);
         break;
     case send_result::other_instance:
-        out.emplace_back(announce_upstream_leaving{.upstream = request.upstream});
+        if (tracker != nullptr)
+            mark_leaving(*tracker, out);
         handle_not_run(request, not_run_evidence::from_refusal(), refusal::no_room, now, out);
         break;
     case send_result::not_connected:
@@ -141,29 +138,115 @@
 {
     refuse_request answer{.id = request.arrival.id, .reason = reason, .retry_after = {}};
     if (auto* const waiting = std::get_if<waiting_request>(&request.stage)) {
+        bool const lacks_room = reason == refusal::no_room || reason == refusal::upstreams_paused;
         auto const outcome_reason =
-            reason == refusal::no_room ? refusal_reason::no_room : refusal_reason::no_upstream;
+            lacks_room ? refusal_reason::no_room : refusal_reason::no_upstream;
         refusal_outcome const outcome = std::move(*waiting).refuse(outcome_reason);
         bool const not_run = std::holds_alternative<not_run_outcome>(outcome);
         answer.status = not_run ? status_unavailable : status_bad_gateway;
         if (not_run && reason == refusal::no_route)
             answer.status = status_not_found;
         else if (not_run)
-            answer.retry_after = retry_after(request);
+            answer.retry_after = retry_after(request, now);
     }
     else {
         answer.status = reason == refusal::answer_timeout ? status_timeout : status_bad_gateway;
     }
     ++(answer.status == status_unavailable ? counters_.refused : counters_.failed);
+    ++counters_.refusals[static_cast<std::size_t>(reason)];
     out.emplace_back(answer);
     finish(request, now);
 }
 
-std::optional<duration> forwarding_engine::retry_after(pending_request const& request)
+std::optional<duration> forwarding_engine::retry_after(pending_request const& request,
+                                                       time_point now)
 {
     if (request.matched_route == nullptr)
         return default_retry_after;
-    return admission_.retry_after(request.deadline - request.arrived);
+    time_point const accepted_from = acceptance_time(request).value_or(now);
+    return admission_.retry_after(std::max(accepted_from - now, duration::zero()),
+                                  request.deadline - now);
+}
+
+upstream_tracker* forwarding_engine::tracker_of_send(pending_request const& request)
+{
+    auto const found = trackers_.find(request.upstream);
+    if (found == trackers_.end() || found->second.incarnation() != request.incarnation)
+        return nullptr;
+    return &found->second;
+}
+
+void forwarding_engine::record_send_end(pending_request const& request,
+                                        send_end_report const& report, time_point now)
+{
+    auto const found = trackers_.find(request.upstream);
+    if (found == trackers_.end())
+        return;
+    if (found->second.incarnation() == request.incarnation)
+        found->second.record_send_end(report, now);
+    else
+        found->second.record_cancelled_send(); // How it ended says nothing about the present one.
+    mark_count_changed(found->second);
+}
+
+void forwarding_engine::mark_leaving(upstream_tracker& tracker, commands& out)
+{
+    if (!tracker.mark_leaving())
+        return;
+    ++counters_.leaving_notices;
+    out.emplace_back(announce_upstream_leaving{.upstream = tracker.known().registration.name,
+                                               .incarnation = tracker.incarnation()});
+}
+
+forwarding_engine::commands forwarding_engine::handle_notice(upstream_name const& upstream,
+                                                             upstream_incarnation incarnation,
+                                                             upstream_notice const& notice,
+                                                             time_point now)
+{
+    commands out;
+    auto const found = trackers_.find(upstream);
+    if (notice.is_empty() || found == trackers_.end() || found->second.incarnation() != incarnation)
+        return out;
+    if (notice.leaving)
+        mark_leaving(found->second, out);
+    if (notice.retry_after) {
+        ++counters_.pause_notices;
+        found->second.record_requested_pause(*notice.retry_after, now);
+    }
+    refuse_hopeless_waiting(found->second.known().registration.service, now, out);
+    return out;
+}
+
+std::optional<time_point> forwarding_engine::acceptance_time(pending_request const& request) const
+{
+    std::optional<time_point> earliest;
+    auto const pool = pools_.find(request.service);
+    if (pool == pools_.end())
+        return earliest;
+    for (upstream_tracker const* const each : pool->second.upstreams) {
+        if (!each->known().is_usable() || !may_run_in(*request.matched_route, each->known().region))
+            continue;
+        time_point const end = each->requested_pause_end();
+        earliest = earliest ? std::min(*earliest, end) : end;
+    }
+    return earliest;
+}
+
+void forwarding_engine::refuse_hopeless_waiting(service_name const& service, time_point now,
+                                                commands& out)
+{
+    if (now < suspended_until_)
+        return;
+    auto const waiting = waiting_requests_[service];
+    for (request_id const id : waiting) {
+        pending_request& request = requests_.at(id);
+        std::optional<time_point> const accepted_from = acceptance_time(request);
+        if (accepted_from && *accepted_from <= request.hold_until)
+            continue;
+        std::erase(waiting_requests_[service], id);
+        end_with_refusal(request, accepted_from ? refusal::upstreams_paused : refusal::no_upstream,
+                         now, out);
+    }
 }
 
 void forwarding_engine::handle_deadline(pending_request& request, time_point now, commands& out)
@@ -174,6 +257,7 @@
         // that itself answers the passed deadline within it leaves the connection reusable.
         request.discards_answer = true;
         ++counters_.failed;
+        ++counters_.refusals[static_cast<std::size_t>(refusal::answer_timeout)];
         out.emplace_back(refuse_request{.id = id,
                                         .status = status_timeout,
                                         .reason = refusal::answer_timeout,
@@ -182,11 +266,7 @@
         return;
     }
     out.emplace_back(cancel_request_send{.id = id});
-    auto const tracker = trackers_.find(request.upstream);
-    if (tracker != trackers_.end()) {
-        tracker->second.record_send_end({.result = send_result::broken, .load = {}}, now);
-        mark_count_changed(tracker->second);
-    }
+    record_send_end(request, {.result = send_result::broken, .load = {}}, now);
     service_name const service = request.service;
     finish(request, now);
     place_waiting(service, now, out);
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -31,6 +31,8 @@
         return "no-upstream";
     case refusal::no_room:
         return "no-room";
+    case refusal::upstreams_paused:
+        return "upstreams-paused";
     case refusal::deadline_passed:
         return "deadline-passed";
     case refusal::upstream_failed:
@@ -211,10 +213,11 @@
     double slots = 0;
     for (upstream_tracker const* const each : upstreams) {
         bool const is_counted =
-            each->is_eligible() && each->proximity() != upstream_proximity::other_region;
+            each->is_eligible(now) && each->proximity() != upstream_proximity::other_region;
         slots += is_counted ? each->slots() : 0;
     }
-    if (upstreams.empty() && suspended_until_ <= now) {
+    std::optional<time_point> const accepted_from = acceptance_time(request);
+    if (!accepted_from && suspended_until_ <= now) {
         end_with_refusal(request, refusal::no_upstream, now, out);
         return;
     }
@@ -238,6 +241,10 @@
         end_with_refusal(request, refusal::no_room, now, out);
         return;
     }
+    if (accepted_from && *accepted_from > now + *hold) {
+        end_with_refusal(request, refusal::upstreams_paused, now, out);
+        return;
+    }
     request.hold_until = now + *hold;
     waiting_requests_[request.service].push_back(request.arrival.id);
     schedule(request, std::min(request.hold_until, now + waiting_retry_interval));
@@ -278,7 +285,7 @@
         for (auto& [service, pool] : pools_) {
             if (pool.spill.is_step_due(now))
                 pool.spill.step(now, free_slot_fraction(service, false, now),
-                                planned_spill_fraction(pool));
+                                planned_spill_fraction(pool, now));
         }
         send_probes(now, out);
     }
@@ -306,6 +313,7 @@
         tracker.record_probe_sent();
         ++counters_.probes;
         out.emplace_back(probe_upstream{.upstream = name,
+                                        .incarnation = tracker.incarnation(),
                                         .to = tracker.known().registration.at,
                                         .path = terms->health_path,
                                         .timeout = probe_timeout});
@@ -313,6 +321,7 @@
 }
 
 forwarding_engine::commands forwarding_engine::handle_probe_report(upstream_name const& upstream,
+                                                                   upstream_incarnation incarnation,
                                                                    probe_report const& report,
                                                                    time_point now)
 {
@@ -320,9 +329,13 @@
     auto const found = trackers_.find(upstream);
     if (found == trackers_.end())
         return out;
+    if (found->second.incarnation() != incarnation) {
+        found->second.record_cancelled_probe();
+        return out;
+    }
     found->second.record_probe(report, now);
     if (report.is_other_instance)
-        out.emplace_back(announce_upstream_leaving{.upstream = upstream});
+        mark_leaving(found->second, out);
     if (report.healthy)
         place_waiting(found->second.known().registration.service, now, out);
     return out;
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -13,6 +13,7 @@
 #include "libraries/steering/outbound_fraction_limiter.hpp"
 #include "libraries/steering/spill_controller.hpp"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <set>
@@ -54,16 +55,21 @@
 /// Totals since the start, for metrics.
 struct forwarding_counters
 {
-    std::uint64_t arrived = 0;        ///< Requests received.
-    std::uint64_t answered = 0;       ///< Requests that an upstream answered.
-    std::uint64_t refused = 0;        ///< Requests answered with 503 by this entry.
-    std::uint64_t failed = 0;         ///< Requests answered with another error by this entry.
-    std::uint64_t sends = 0;          ///< Sends to upstreams, first and further ones.
-    std::uint64_t further_sends = 0;  ///< Sends of a request after its first one.
-    std::uint64_t retries_denied = 0; ///< Further sends that the retry budget didn't allow.
-    std::uint64_t left_region = 0;    ///< Requests first sent to another region.
-    std::uint64_t callers_gone = 0;   ///< Callers that disconnected before their answer.
-    std::uint64_t probes = 0;         ///< Health probes sent.
+    std::uint64_t arrived = 0;         ///< Requests received.
+    std::uint64_t answered = 0;        ///< Requests that an upstream answered.
+    std::uint64_t refused = 0;         ///< Requests answered with 503 by this entry.
+    std::uint64_t failed = 0;          ///< Requests answered with another error by this entry.
+    std::uint64_t sends = 0;           ///< Sends to upstreams, first and further ones.
+    std::uint64_t further_sends = 0;   ///< Sends of a request after its first one.
+    std::uint64_t retries_denied = 0;  ///< Further sends that the retry budget didn't allow.
+    std::uint64_t left_region = 0;     ///< Requests first sent to another region.
+    std::uint64_t callers_gone = 0;    ///< Callers that disconnected before their answer.
+    std::uint64_t probes = 0;          ///< Health probes sent.
+    std::uint64_t leaving_notices = 0; ///< Upstreams whose own answer first told that they leave.
+    std::uint64_t pause_notices = 0;   ///< Answers in which an upstream asked for a pause.
+    std::uint64_t sends_of_recent_objects = 0; ///< Sends of an object that the upstream had lately.
+    std::array<std::uint64_t, send_result_count> send_ends{}; ///< Ends of sends by `send_result`.
+    std::array<std::uint64_t, refusal_count> refusals{};      ///< Own answers by `refusal`.
 };
 
 /// Data of a finished request for its log line.
@@ -108,8 +114,14 @@
     /// Takes a new request: sends, holds or refuses it.
     commands submit(request_arrival arrival, time_point now);
     commands handle_send_end(request_id id, send_end_report const& report, time_point now);
-    commands handle_probe_report(upstream_name const& upstream, probe_report const& report,
-                                 time_point now);
+    /// Takes the report of a probe that was sent to this incarnation of the upstream.
+    commands handle_probe_report(upstream_name const& upstream, upstream_incarnation incarnation,
+                                 probe_report const& report, time_point now);
+    /// Takes what an upstream said of itself in any answer on a connection on which a request or
+    /// probe was sent to this incarnation. Call it before the end of that send is reported. A
+    /// notice of an earlier incarnation changes nothing for the present one.
+    commands handle_notice(upstream_name const& upstream, upstream_incarnation incarnation,
+                           upstream_notice const& notice, time_point now);
     commands handle_caller_disconnect(request_id id, time_point now);
     /// Runs what is due: deadlines, waiting requests, health probes and periodic maintenance.
     commands tick(time_point now);
@@ -149,6 +161,7 @@
         /// The caller has been answered or is gone; an upstream's answer will be discarded.
         bool discards_answer = false;
         upstream_name upstream;
+        upstream_incarnation incarnation; ///< Of `upstream`, when the request was sent.
         std::vector<upstream_name> tried_upstreams;
         unsigned sends = 0;
         bool object_is_recent = false; ///< This upstream was recently sent the same object.
@@ -222,7 +235,7 @@
     /// are no slots.
     double free_slot_fraction(service_name const& service, bool in_region, time_point now) const;
     /// Fraction of a service's requests that other regions should serve when all regions are full.
-    double planned_spill_fraction(service_pool const& pool) const;
+    double planned_spill_fraction(service_pool const& pool, time_point now) const;
     /// Sets the initial spill fraction of a service once enough is known about other entries.
     void begin_spill(service_pool& pool, time_point now);
     /// Takes over the spill fractions of another entry of this region if this one has just started.
@@ -243,7 +256,20 @@
     void handle_deadline(pending_request& request, time_point now, commands& out);
     /// Forgets a request and keeps its summary in `last_finished_`.
     void finish(pending_request& request, time_point now);
-    std::optional<duration> retry_after(pending_request const& request);
+    std::optional<duration> retry_after(pending_request const& request, time_point now);
+    /// The tracker of the request's upstream if that is still the incarnation to which the request
+    /// was sent, or null.
+    upstream_tracker* tracker_of_send(pending_request const& request);
+    /// Counts the end of the request's send at its upstream.
+    void record_send_end(pending_request const& request, send_end_report const& report,
+                         time_point now);
+    void mark_leaving(upstream_tracker& tracker, commands& out);
+    /// When an upstream that may run the request accepts requests again, as far as pauses that
+    /// upstreams asked for are known; nothing if no upstream may run it at all. Ejected upstreams
+    /// count as accepting, because a probe may return them at any time.
+    std::optional<time_point> acceptance_time(pending_request const& request) const;
+    /// Refuses the service's waiting requests that can no longer be sent in time.
+    void refuse_hopeless_waiting(service_name const& service, time_point now, commands& out);
 
     void schedule(pending_request& request, time_point wake_at);
     void unschedule(pending_request const& request);
--- a/libraries/forwarding/forwarding_messages.hpp
+++ b/libraries/forwarding/forwarding_messages.hpp
@@ -32,6 +32,17 @@
     double slowness = 1.0; ///< Current service time as a multiple of the upstream's usual one.
 };
 
+/// What an upstream said of itself in the head of any answer.
+struct upstream_notice
+{
+    bool leaving = false;                ///< It is shutting down and wants no new requests.
+    std::optional<duration> retry_after; ///< It wants no requests for this time.
+    /// The pause was negative, unreadable or so long that it was shortened.
+    bool has_unusable_pause = false;
+
+    bool is_empty() const { return !leaving && !retry_after; }
+};
+
 /// How a send to an upstream ended.
 enum class send_result
 {
@@ -42,6 +53,7 @@
     broken          ///< The send failed after it may have reached the upstream: it may have run.
 };
 
+constexpr std::size_t send_result_count = static_cast<std::size_t>(send_result::broken) + 1;
 /// The name of a result in logs, such as "not-connected".
 char const* name_of(send_result result);
 
@@ -69,6 +81,7 @@
 {
     request_id id;
     upstream_name upstream;
+    upstream_incarnation incarnation; ///< The upstream's incarnation as this entry knows it.
     address to;
     duration time_left{};
     duration connect_timeout{};
@@ -94,12 +107,14 @@
     no_route,         ///< No route matches the request.
     no_upstream,      ///< The service has no upstream.
     no_room,          ///< No slot became free in time, or upstreams rejected the request.
+    upstreams_paused, ///< All upstreams that could run it asked for a pause that is too long.
     deadline_passed,  ///< The deadline passed while the request waited for a slot.
     upstream_failed,  ///< A send failed and no further send is allowed.
     answer_timeout,   ///< The deadline passed while the request was at an upstream.
     stopping          ///< This entry is shutting down.
 };
 
+constexpr std::size_t refusal_count = static_cast<std::size_t>(refusal::stopping) + 1;
 /// The name of a refusal in logs, such as "no-room".
 char const* name_of(refusal reason);
 
@@ -116,16 +131,18 @@
 struct probe_upstream
 {
     upstream_name upstream;
+    upstream_incarnation incarnation;
     address to;
     std::string path;
     duration timeout{};
 };
 
-/// Command: tell the other entries that an upstream is leaving, because another instance answered
-/// at its address.
+/// Command: tell the other entries that an incarnation of an upstream is leaving, because it said
+/// so or because another instance answered at its address.
 struct announce_upstream_leaving
 {
     upstream_name upstream;
+    upstream_incarnation incarnation;
 };
 
 using forwarding_command = std::variant<send_request, cancel_request_send, deliver_answer,
--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -260,7 +260,7 @@
     preferred_upstream remote;
     slot_totals region_slots;
     for (upstream_tracker const* const each : pools_.at(request.service).upstreams) {
-        if (!each->is_eligible())
+        if (!each->is_eligible(now))
             continue;
         bool const in_region = each->proximity() != upstream_proximity::other_region;
         if (in_region)
@@ -288,19 +288,19 @@
 {
     slot_totals sum;
     for (upstream_tracker const* const each : pools_.at(service).upstreams) {
-        if (each->is_eligible() &&
+        if (each->is_eligible(now) &&
             (each->proximity() != upstream_proximity::other_region) == in_region)
             sum.add(*each, peer_counts_, now);
     }
     return sum.free_slot_fraction();
 }
 
-double forwarding_engine::planned_spill_fraction(service_pool const& pool) const
+double forwarding_engine::planned_spill_fraction(service_pool const& pool, time_point now) const
 {
     region_capacity weight{.region_entries = static_cast<double>(own_region_entries_.size()),
                            .total_entries = static_cast<double>(entries_.size())};
     for (upstream_tracker const* const each : pool.upstreams) {
-        if (!each->is_eligible())
+        if (!each->is_eligible(now))
             continue;
         weight.total_slots += each->slots();
         weight.region_slots +=
@@ -324,7 +324,7 @@
     bool const is_first = std::none_of(pools_.begin(), pools_.end(), [](auto const& each) {
         return each.second.spill.has_begun();
     });
-    pool.spill.begin(planned_spill_fraction(pool), now);
+    pool.spill.begin(planned_spill_fraction(pool, now), now);
     if (is_first)
         region_share_.begin(pool.spill.part(), now);
 }
@@ -416,6 +416,7 @@
     if (terms != nullptr && terms->cold_requests_per_s > 0 && tracker.is_cold(now))
         tracker.spend_cold_token();
     request.object_is_recent = tracker.handled_recently(request.arrival.object);
+    counters_.sends_of_recent_objects += request.object_is_recent ? 1 : 0;
     tracker.record_send(request.arrival.object);
     mark_count_changed(tracker);
     if (!request.counted_in_region_share) {
@@ -426,6 +427,7 @@
     request.stage = std::get<waiting_request>(std::move(request.stage)).dispatch();
     request.at_upstream = true;
     request.upstream = tracker.known().registration.name;
+    request.incarnation = tracker.incarnation();
     request.tried_upstreams.push_back(request.upstream);
     request.sent_at = now;
     if (request.sends == 0)
@@ -438,6 +440,7 @@
     out.emplace_back(send_request{
         .id = request.arrival.id,
         .upstream = request.upstream,
+        .incarnation = request.incarnation,
         .to = tracker.known().registration.at,
         .time_left = request.deadline - now,
         .connect_timeout = expected_round_trip(tracker) * 2 + std::chrono::milliseconds(250),
--- a/libraries/forwarding/http_dialect.hpp
+++ b/libraries/forwarding/http_dialect.hpp
@@ -36,6 +36,9 @@
     virtual http_header answer_id(http1::message_head const& request) const = 0;
     /// Parses the head of an upstream's complete answer.
     virtual send_end_report read_answer(http1::message_head const& head) const = 0;
+    /// What an upstream says of itself in the head of an answer; empty if another instance
+    /// answered.
+    virtual upstream_notice read_notice(http1::message_head const& head) const = 0;
     /// Headers with which an upstream's answer is delivered to the caller.
     virtual http_headers caller_headers(http1::message_head const& answer) const = 0;
     /// An answer that this entry gives itself, without an upstream.
--- a/libraries/forwarding/upstream_tracker.cpp
+++ b/libraries/forwarding/upstream_tracker.cpp
@@ -1,6 +1,7 @@
 #include "libraries/forwarding/upstream_tracker.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace burdockstep {
 
@@ -26,9 +27,15 @@
 {
     bool const restarted = known.registration.started_ms != known_.registration.started_ms ||
                            known.registration.at != known_.registration.at;
+    // A leaving mark made here may be newer than the registry's state.
+    bool const was_leaving = known_.draining;
     known_ = known;
-    if (!restarted)
+    if (!restarted) {
+        known_.draining = known_.draining || was_leaving;
         return;
+    }
+    backoff_end_ = {};
+    requested_pause_end_ = {};
     recent_objects_.clear();
     ejected_ = false;
     consecutive_failures_ = 0;
@@ -69,7 +76,7 @@
         consecutive_failures_ = 0;
         break;
     case send_result::shed:
-        paused_until_ = now + options_.shed_backoff;
+        backoff_end_ = now + options_.shed_backoff;
         break;
     case send_result::other_instance:
         break;
@@ -92,9 +99,20 @@
     next_probe_at_ = now + probe_interval_;
 }
 
+bool upstream_tracker::mark_leaving()
+{
+    return !std::exchange(known_.draining, true);
+}
+
+void upstream_tracker::record_requested_pause(duration pause, time_point now)
+{
+    requested_pause_end_ = std::max(requested_pause_end_, now + pause);
+}
+
 bool upstream_tracker::needs_probe(time_point now) const
 {
-    return ejected_ && !probe_under_way_ && known_.is_usable() && now >= next_probe_at_;
+    return ejected_ && !probe_under_way_ && known_.is_usable() && now >= next_probe_at_ &&
+           now >= requested_pause_end_;
 }
 
 void upstream_tracker::record_probe(probe_report const& report, time_point now)
--- a/libraries/forwarding/upstream_tracker.hpp
+++ b/libraries/forwarding/upstream_tracker.hpp
@@ -61,15 +61,29 @@
     void record_load(load_report const& report, time_point now);
     void record_probe(probe_report const& report, time_point now);
 
+    /// Records that the upstream is leaving. Returns false if that was known.
+    bool mark_leaving();
+    /// Records that the upstream wants no requests for `pause` from now on. A pause never ends
+    /// earlier because of a later, shorter one: answers may arrive out of order.
+    void record_requested_pause(duration pause, time_point now);
+
     /// True if a health probe should be sent now.
     bool needs_probe(time_point now) const;
     void record_probe_sent() { probe_under_way_ = true; }
+    /// Records that the probe under way has ended without a result for this incarnation.
+    void record_cancelled_probe() { probe_under_way_ = false; }
 
-    /// True if the upstream may get requests: it is usable and not ejected.
-    bool is_eligible() const { return known_.is_usable() && !ejected_; }
+    /// True if the upstream may get requests: it is usable, not ejected, and has not asked for a
+    /// pause.
+    bool is_eligible(time_point now) const
+    {
+        return known_.is_usable() && !ejected_ && now >= requested_pause_end_;
+    }
     /// True if the upstream is eligible and not in back-off after shedding a request. Says nothing
     /// about slots and the rate limit of a cold upstream.
-    bool may_send_now(time_point now) const { return is_eligible() && now >= paused_until_; }
+    bool may_send_now(time_point now) const { return is_eligible(now) && now >= backoff_end_; }
+    /// When the pause that the upstream has asked for ends; in the past if it asked for none.
+    time_point requested_pause_end() const { return requested_pause_end_; }
     /// Refills the token bucket that limits requests to a cold upstream, and returns true if it
     /// holds a token. `cold_rate` is the request rate, per second, that a cold upstream sustains.
     bool has_cold_token(double cold_rate, time_point now);
@@ -99,6 +113,7 @@
 
     known_upstream const& known() const { return known_; }
     upstream_key key() const { return key_; }
+    upstream_incarnation incarnation() const { return known_.registration.incarnation(); }
     upstream_proximity proximity() const { return proximity_; }
     unsigned slots() const { return known_.registration.slots.get(); }
     unsigned own_requests_under_way() const { return own_requests_under_way_; }
@@ -119,7 +134,8 @@
     bool probe_under_way_ = false;
     duration probe_interval_{};
     time_point next_probe_at_;
-    time_point paused_until_;
+    time_point backoff_end_;         ///< End of this entry's back-off after a shed request.
+    time_point requested_pause_end_; ///< End of the pause that the upstream has asked for.
     std::optional<load_report> last_load_;
     unsigned sends_since_load_ = 0; ///< Sends of this entry after the last load report.
     time_point last_load_at_;
--- a/libraries/wire/bounded.hpp
+++ b/libraries/wire/bounded.hpp
@@ -16,6 +16,8 @@
 class bounded_text
 {
 public:
+    static constexpr std::size_t max_bytes = limit;
+
     bounded_text() = default;
     explicit bounded_text(std::string text) : text_(std::move(text)) {}
 
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -14,6 +14,8 @@
 
 /// A name. Names in the settings and in the configuration document have at most 63 bytes.
 using name_text = bounded_text<63>;
+/// A name in the platform's registry, whose keys have at most 200 bytes.
+using registry_text = bounded_text<200>;
 /// The text of a configuration document.
 using document_text = bounded_text<4 * 1024 * 1024>;
 
@@ -65,14 +67,16 @@
 /// An upstream that is leaving, by its own announcement or by the platform's instance list.
 struct leaving_upstream
 {
-    name_text name;
+    registry_text name;
+    /// Wall clock at the start of the incarnation that is leaving; 0 if unknown.
+    std::int64_t started_ms = 0;
     /// Milliseconds since this was first learned, from which the receiver computes the expiry.
     std::uint32_t age_ms = 0;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(name, age_ms);
+        archive(name, started_ms, age_ms);
     }
 
     friend bool operator==(leaving_upstream const&, leaving_upstream const&) = default;
@@ -230,9 +234,9 @@
 /// One changed registration, as sent by an entry that read the registry.
 struct registration_change_record
 {
-    name_text name;
-    name_text service;
-    name_text place;
+    registry_text name;
+    registry_text service;
+    registry_text place;
     address at; ///< Address that receives the upstream's requests.
     std::uint32_t slots = 0;
     registration_state state = registration_state::ready;
--- a/services/burdockstep_gateway/discovery/discovery_task.cpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.cpp
@@ -117,8 +117,11 @@
         entries_reader_.handle_update(received_entries_update->update);
     }
     else if (auto const* const leaving = std::get_if<upstream_leaving>(&new_event)) {
-        if (registrations_reader_.registry().mark_leaving(leaving->name)) {
-            log_.info("upstream leaves", {field("upstream", leaving->name.get()),
+        leaving_report const& report = leaving->report;
+        if (registrations_reader_.registry().mark_leaving(report.upstream, report.incarnation,
+                                                          context_.clock.now())) {
+            log_.info("upstream leaves", {field("upstream", report.upstream.get()),
+                                          field("started_ms", report.incarnation.get()),
                                           field("from_peer", leaving->from_peer)});
             registrations_reader_.publish_upstreams();
         }
@@ -144,6 +147,8 @@
     };
     write_metric("store_calls_total", store_monitor_.calls());
     write_metric("registry_news_total", updates_received_);
+    write_metric("upstreams_known", registrations_reader_.registry().upstreams().size());
+    write_metric("upstreams_usable", registrations_reader_.registry().count_usable());
     write_metric("store_reachable", store_monitor_.is_reachable() ? 1 : 0);
     write_metric("configuration_version",
                  directives_reader_.document() ? directives_reader_.document()->version.get() : 0);
--- a/services/burdockstep_gateway/discovery/registrations_reader.cpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.cpp
@@ -140,12 +140,9 @@
     if (registry_.changes() == published_changes_)
         return;
     published_changes_ = registry_.changes();
-    std::size_t usable_count = 0;
-    for (auto const& [name, upstream_state] : registry_.upstreams())
-        usable_count += upstream_state.is_usable() ? 1 : 0;
     log_.info("upstreams changed",
-              {field("known", registry_.upstreams().size()), field("usable", usable_count),
-               field("store_version", version_.get())});
+              {field("known", registry_.upstreams().size()),
+               field("usable", registry_.count_usable()), field("store_version", version_.get())});
     context_.post(upstreams_changed{
         .upstreams = std::make_shared<std::map<upstream_name, known_upstream> const>(
             registry_.upstreams())});
--- a/services/burdockstep_gateway/discovery/registrations_reader.hpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.hpp
@@ -42,6 +42,7 @@
     bool handle_update(assembled_registry_update const& update);
 
     upstream_registry& registry() { return registry_; }
+    upstream_registry const& registry() const { return registry_; }
     store_version version() const { return version_; }
     bool has_full_registry() const { return has_full_registry_; }
     /// Posts the upstreams to the other tasks if any of them has changed.
--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "libraries/discovery/upstream_registry.hpp"
+#include "libraries/membership/leaving_upstream_tracker.hpp"
 #include "libraries/membership/member_directory.hpp"
 #include "libraries/routing/routing_document.hpp"
 #include "libraries/wire/messages.hpp"
@@ -56,10 +57,11 @@
     std::uint64_t version = 0;
 };
 
-/// An upstream is leaving: its answer to this entry said so, or a peer reported it.
+/// An incarnation of an upstream is leaving: its answer to this entry said so, or a peer reported
+/// it.
 struct upstream_leaving
 {
-    upstream_name name;
+    leaving_report report;
     bool from_peer = false;
 };
 
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -69,8 +69,10 @@
     directory_.handle_heartbeat(heartbeat_message, context_.clock.now());
     if (heartbeat_message.head.version > directives_version_)
         context_.post(peer_directives_version_received{.version = heartbeat_message.head.version});
-    for (wire::leaving_upstream const& each : heartbeat_message.leaving.get())
-        context_.post(upstream_leaving{.name = upstream_name(each.name.get()), .from_peer = true});
+    // New reports are also sent on, with their age, in this entry's next heartbeats.
+    for (leaving_report const& each :
+         leaving_upstreams_.record_leaving(heartbeat_message, context_.clock.now()))
+        context_.post(upstream_leaving{.report = each, .from_peer = true});
     publish_members();
 }
 
@@ -175,8 +177,8 @@
             send_heartbeats();
     }
     else if (auto const* const leaving = std::get_if<upstream_leaving>(&new_event)) {
-        time_point const now = context_.clock.now();
-        if (!leaving->from_peer && leaving_upstreams_.record_leaving(leaving->name, now, now))
+        if (!leaving->from_peer &&
+            leaving_upstreams_.record_leaving(leaving->report, context_.clock.now()))
             send_heartbeats();
     }
     else if (auto const* const outgoing_report = std::get_if<slot_report_ready>(&new_event)) {
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -17,6 +17,8 @@
 constexpr duration max_suspension = std::chrono::milliseconds(1'500);
 /// Retry-After of requests that are refused during a planned stop.
 constexpr duration stopping_retry_delay = std::chrono::milliseconds(50);
+/// Incomplete answers may take this part of the process's memory.
+constexpr std::size_t answer_buffer_divisor = 4;
 constexpr int status_unavailable = 503;
 constexpr std::size_t max_request_body_bytes = std::size_t{64} * 1024 * 1024;
 
@@ -35,12 +37,20 @@
     return options;
 }
 
+http1::client_limits make_client_limits(gateway_settings const& settings)
+{
+    http1::client_limits limits;
+    limits.max_buffered_bytes = settings.memory_bytes / answer_buffer_divisor;
+    limits.max_body_bytes = std::min(limits.max_body_bytes, limits.max_buffered_bytes);
+    return limits;
+}
+
 } // namespace
 
 requests_task::requests_task(gateway_context& context, http_dialect const& dialect)
     : context_(context), dialect_(dialect),
       engine_(make_forwarding_options(context.settings), context.random),
-      upstream_client_(context.loop, context.clock, {}),
+      upstream_client_(context.loop, context.clock, make_client_limits(context.settings)),
       caller_server_(context.loop, context.clock, {}), engine_tick_timer_(context.loop),
       maintenance_timer_(context.loop), own_region_report_timer_(context.loop),
       other_regions_report_timer_(context.loop)
@@ -110,7 +120,8 @@
         .body = request.body,
         .answer_id = dialect_.answer_id(request.head),
         .max_idle_time = command.longest_idle,
-        .connect_timeout = command.connect_timeout};
+        .connect_timeout = command.connect_timeout,
+        .on_any_head = notice_reader(command.upstream, command.incarnation)};
     active_sends_[command.id] = upstream_client_.start(
         std::move(call),
         [this, id = command.id, upstream = command.upstream](http1::call_result result) {
@@ -215,14 +226,32 @@
                              .answer_id = {},
                              .max_idle_time = duration::zero(),
                              .connect_timeout = command.timeout,
-                             .answer_timeout = command.timeout};
+                             .answer_timeout = command.timeout,
+                             .call_timeout = 2 * command.timeout,
+                             .on_any_head = notice_reader(command.upstream, command.incarnation)};
     upstream_client_.start(std::move(call),
-                           [this, upstream = command.upstream](http1::call_result const& result) {
-                               handle_probe_result(upstream, result);
+                           [this, upstream = command.upstream,
+                            incarnation = command.incarnation](http1::call_result const& result) {
+                               handle_probe_result(upstream, incarnation, result);
                            });
 }
 
+std::function<void(http1::message_head const&)>
+requests_task::notice_reader(upstream_name const& upstream, upstream_incarnation incarnation)
+{
+    return [this, upstream, incarnation](http1::message_head const& head) {
+        upstream_notice const notice = dialect_.read_notice(head);
+        if (notice.has_unusable_pause && upstreams_with_unusable_pause_.is_new(upstream.get()))
+            log_.warning("upstream asked for a pause that is unreadable or too long; it is ignored "
+                         "or shortened",
+                         {field("upstream", upstream.get())});
+        if (!notice.is_empty())
+            execute(engine_.handle_notice(upstream, incarnation, notice, context_.clock.now()));
+    };
+}
+
 void requests_task::handle_probe_result(upstream_name const& upstream,
+                                        upstream_incarnation incarnation,
                                         http1::call_result const& result)
 {
     probe_report report;
@@ -237,14 +266,16 @@
             upstream_cold_start_reported{.name = upstream, .cold_time_left = *report.cold_left});
     // Queued after the cold-start event, so that the engine sends nothing to the upstream before it
     // knows that it is cold.
-    context_.loop.post([this, upstream, report] {
-        execute(engine_.handle_probe_report(upstream, report, context_.clock.now()));
+    context_.loop.post([this, upstream, incarnation, report] {
+        execute(engine_.handle_probe_report(upstream, incarnation, report, context_.clock.now()));
     });
 }
 
 void requests_task::execute(announce_upstream_leaving const& command)
 {
-    context_.post(upstream_leaving{.name = command.upstream});
+    context_.post(upstream_leaving{.report = {.upstream = command.upstream,
+                                              .incarnation = command.incarnation,
+                                              .reported_at = context_.clock.now()}});
 }
 
 void requests_task::schedule_tick()
@@ -379,10 +410,27 @@
     write_metric("requests_left_region_total", counters.left_region);
     write_metric("callers_gone_total", counters.callers_gone);
     write_metric("probes_total", counters.probes);
+    write_metric("upstreams_leaving_by_own_answer_total", counters.leaving_notices);
+    write_metric("pauses_requested_by_upstreams_total", counters.pause_notices);
+    write_metric("sends_of_recent_objects_total", counters.sends_of_recent_objects);
+    for (std::size_t i = 0; i < counters.send_ends.size(); ++i)
+        write_metric(
+            fmt::format("send_ends_total{{result=\"{}\"}}", name_of(static_cast<send_result>(i))),
+            counters.send_ends[i]);
+    for (std::size_t i = 0; i < counters.refusals.size(); ++i)
+        write_metric(
+            fmt::format("refusals_total{{reason=\"{}\"}}", name_of(static_cast<refusal>(i))),
+            counters.refusals[i]);
     write_metric("requests_under_way", engine_.requests_under_way());
-    write_metric("upstream_connections_opened_total",
-                 upstream_client_.counters().connections_opened);
-    write_metric("upstream_answers_skipped_total", upstream_client_.counters().answers_skipped);
+    http1::client_counters const& connections = upstream_client_.counters();
+    write_metric("upstream_connections_opened_total", connections.connections_opened);
+    write_metric("upstream_connections_opened_none_idle_total", connections.opened_none_idle);
+    write_metric("upstream_connections_opened_idle_too_long_total",
+                 connections.opened_idle_too_long);
+    write_metric("upstream_connections_reused_total", connections.connections_reused);
+    write_metric("upstream_answers_skipped_total", connections.answers_skipped);
+    write_metric("upstream_answers_dropped_for_memory_total",
+                 connections.answers_dropped_for_memory);
     write_metric("caller_connections", caller_server_.open_connections());
     for (double const quantile : {0.5, 0.9, 0.99}) {
         fmt::format_to(std::back_inserter(out),
--- a/services/burdockstep_gateway/requests/requests_task.hpp
+++ b/services/burdockstep_gateway/requests/requests_task.hpp
@@ -4,6 +4,7 @@
 #include "services/burdockstep_gateway/task.hpp"
 
 #include "libraries/core/log.hpp"
+#include "libraries/core/reported_keys.hpp"
 #include "libraries/dispatch/report_delays.hpp"
 #include "libraries/forwarding/forwarding_engine.hpp"
 #include "libraries/forwarding/http_dialect.hpp"
@@ -42,7 +43,12 @@
     void execute(announce_upstream_leaving const& command);
     void handle_send_result(request_id id, upstream_name const& upstream,
                             http1::call_result result);
-    void handle_probe_result(upstream_name const& upstream, http1::call_result const& result);
+    void handle_probe_result(upstream_name const& upstream, upstream_incarnation incarnation,
+                             http1::call_result const& result);
+    /// Returns a function that reads what an upstream says of itself in the head of any answer on a
+    /// connection on which a request or probe is sent to this incarnation.
+    std::function<void(http1::message_head const&)> notice_reader(upstream_name const& upstream,
+                                                                  upstream_incarnation incarnation);
     void schedule_tick();
     void report_changed_counts();
     void report_all_counts(bool to_own_region);
@@ -78,6 +84,7 @@
     bool stopping_ = false;
     bool refuses_requests_ = false; ///< New requests are refused near the end of a planned stop.
     latency_histogram request_latencies_;
+    reported_keys upstreams_with_unusable_pause_;
 };
 
 } // namespace burdockstep::gateway
--- a/services/burdockstepd/operators/operators_task.cpp
+++ b/services/burdockstepd/operators/operators_task.cpp
@@ -154,9 +154,9 @@
                          {"moved_in_limit", shift_governors.inward.shifted_fraction_limit()}});
     }
     json::array leaving;
-    for (auto const& [name, observed_at] : callers_task_.engine().leaving())
+    for (auto const& [name, report] : callers_task_.engine().leaving())
         leaving.push_back(json::object{{"upstream", name.get()},
-                                       {"last_sign_ms_ago", elapsed_ms(now, observed_at)}});
+                                       {"last_sign_ms_ago", elapsed_ms(now, report.reported_at)}});
     json::array drains;
     if (configuration_) {
         for (drain const& each : configuration_->document->drains)
--- a/services/burdockstepd/peers/peers_task.cpp
+++ b/services/burdockstepd/peers/peers_task.cpp
@@ -246,8 +246,11 @@
         request_state(configuration_request->peer);
     }
     else if (auto const* const leaving_event = std::get_if<upstream_leaving>(&new_event)) {
-        bool const is_newly_reported = leaving_upstreams_.record_leaving(
-            leaving_event->name, leaving_event->observed_at, context_.clock.now());
+        bool const is_newly_reported =
+            leaving_upstreams_.record_leaving({.upstream = leaving_event->name,
+                                               .incarnation = {},
+                                               .reported_at = leaving_event->observed_at},
+                                              context_.clock.now());
         if (is_newly_reported && leaving_event->reported_by != leaving_report_source::peer)
             send_heartbeats();
     }
--- /dev/null
+++ b/tests/fuzz/wire_target.cpp
@@ -0,0 +1,49 @@
+// Fuzzing target: decoding of datagrams and stream messages. What can be decoded must have the same
+// encoding again.
+#include "tests/fuzz/fuzz_target.hpp"
+
+#include "libraries/wire/codec.hpp"
+
+#include <cstdlib>
+#include <string_view>
+
+using namespace burdockstep;
+
+extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const* bytes, std::size_t size)
+{
+    std::string_view const text(reinterpret_cast<char const*>(bytes), size);
+    handle_failure(
+        [&]() -> result<void> {
+            BOOST_LEAF_AUTO(message, wire::decode(text));
+            BOOST_LEAF_AUTO(again, wire::decode(wire::encode(message)));
+            if (wire::encode(again) != wire::encode(message))
+                std::abort();
+            return {};
+        },
+        [](failure const&) {});
+    return 0;
+}
+
+std::vector<std::string> burdockstep::fuzz::sample_inputs()
+{
+    wire::heartbeat beat;
+    beat.sender.instance = wire::name_text("entry-1");
+    beat.member_updates.add({.instance = wire::name_text("entry-2"), .incarnation = 3});
+    beat.leaving.add({.name = wire::registry_text("u1"), .started_ms = 99, .age_ms = 12});
+    wire::registry_update_message update{.after = 1, .version = 2, .changes = {}};
+    update.changes.add({.name = wire::registry_text("u1"),
+                        .service = wire::registry_text("s"),
+                        .place = wire::registry_text("p"),
+                        .slots = 3});
+    wire::slot_report report{.instance = wire::name_text("entry-1"), .counts = {}};
+    report.counts.add({.upstream = 5, .under_way = 2});
+    wire::entries_update_message entries{.after = 1, .version = 2, .entries = {}};
+    entries.entries.add({.instance = wire::name_text("entry-1")});
+    return {wire::encode(beat),
+            wire::encode(update),
+            wire::encode(report),
+            wire::encode(entries),
+            wire::encode(wire::state_request{.known_version = 4}),
+            wire::encode(wire::state_answer{}),
+            wire::encode(wire::pool_report{.service = wire::name_text("s"), .slots = 3})};
+}
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -196,6 +196,103 @@
         "a removed upstream got requests"
 
 
+def metric(gateway, name):
+    body = http_call("GET", f"http://127.0.0.1:{gateway['metrics']}/metrics")[2].decode()
+    metrics_by_name = dict(line.rsplit(" ", 1) for line in body.splitlines())
+    return int(metrics_by_name[f"burdockstep_{name}"])
+
+
+def wait_until_usable(deployment, count):
+    wait_until(lambda: all(metric(each, "upstreams_usable") == count
+                           for each in deployment.gateways),
+               f"all gateways know {count} usable upstreams")
+
+
+def call_all(deployment, calls, prefix):
+    """Sends `calls` requests for the same object to each gateway."""
+    for number in range(calls):
+        for each in deployment.gateways:
+            deployment.call(each, "/read/x", f"{prefix}{number}{each['name']}")
+
+
+def check_upstream_that_says_it_is_leaving_gets_no_requests(deployment):
+    """Its registration still says that it is ready."""
+    name = deployment.call(deployment.gateways[0], "/read/x", "v0")[2].split()[0].decode()
+    deployment.post_control("change", name=name, change="say-leaving")
+    # One answer tells the gateway; its peers are told by it.
+    assert deployment.call(deployment.gateways[0], "/read/x", "v1")[0] == 200
+    time.sleep(1.0)
+    before = deployment.state()["arrivals"][name]
+    call_all(deployment, 12, "v")
+    assert deployment.state()["arrivals"][name] == before, "a leaving upstream got requests"
+    usable = metric(deployment.gateways[0], "upstreams_usable")
+    for number in (5, 6):
+        deployment.post_control("upstream", name=f"u{number}", service="reads", place="p1")
+    wait_until_usable(deployment, usable + 2)
+
+
+def check_upstream_that_asks_for_a_pause_gets_no_requests(deployment):
+    name = deployment.call(deployment.gateways[0], "/read/x", "b0")[2].split()[0].decode()
+    deployment.post_control("change", name=name, change="pause 2.5")
+    for number, each in enumerate(deployment.gateways):
+        # The request that is turned away is served by another upstream.
+        assert deployment.call(each, "/read/x", f"b1{number}")[0] == 200
+    before = deployment.state()["arrivals"][name]
+    call_all(deployment, 12, "b")
+    assert deployment.state()["arrivals"][name] == before, "a paused upstream got requests"
+    deployment.post_control("change", name=name, change="heal")
+    wait_until(lambda: (call_all(deployment, 2, "bh"),
+                        deployment.state()["arrivals"][name] > before)[1],
+               "the upstream gets requests again after its pause")
+
+
+def odd_registrations():
+    """Registrations that another program wrote and no upstream can have, by key."""
+    def registration(**changes):
+        fields = {"address": "127.0.0.1:9", "slots": 3, "service": "reads", "seq": 1, **changes}
+        return ('{"address":"%(address)s","info":{"service":"%(service)s","version":"v1",'
+                '"zone":"p1","slots":%(slots)s},"status":{"state":"ready","seq":%(seq)s,'
+                '"coldLeftMs":0},"born":1}' % fields)
+    return {"odd-nested": "[" * 10_000 + "]" * 10_000,
+            "odd-nested-object": '{"a":' * 10_000 + "1" + "}" * 10_000,
+            "odd-slots": registration(slots="18446744073709551615"),
+            "odd-slots-2": registration(slots="4000000000"),
+            "odd-slots-3": registration(slots="1e400"),
+            "odd-seq": registration(seq="9223372036854775808"),
+            "odd-port": registration(address="127.0.0.1:65536"),
+            "odd-port-2": registration(address="127.0.0.1:0"),
+            "odd-port-3": registration(address="127.0.0.1:-1"),
+            "odd-service": registration(service="s" * 201),
+            "odd-text": "\x00\x01 no document"}
+
+
+def check_odd_registrations_are_ignored_and_the_list_is_followed(deployment):
+    odd = odd_registrations()
+    for key, value in odd.items():
+        deployment.post_control("row", table="servers", key=key, value=value)
+    # A valid registration with the longest names must reach all gateways too.
+    longest = "n" * 200
+    usable = metric(deployment.gateways[0], "upstreams_usable")
+    deployment.post_control("upstream", name=longest, service="reads", place="p1")
+    def log_lines(gateway):
+        return gateway["process"].log.read_text(errors="replace").splitlines()
+    def reports(gateway, key):
+        return [each for each in log_lines(gateway)
+                if "can't be parsed" in each and f"upstream={key} " in each + " "]
+    wait_until_usable(deployment, usable + 1)
+    deployment.post_control("row", table="servers", key="odd-slots", value="{")
+    time.sleep(1.0)
+    for each in deployment.gateways:
+        assert each["process"].is_running(), f"{each['name']} has ended"
+        assert deployment.call(each, "/read/x", f"q{each['name']}")[0] == 200
+        for key in odd:
+            assert len(reports(each, key)) <= 1, (each["name"], key, reports(each, key))
+    for key in odd:
+        assert any(reports(each, key) for each in deployment.gateways), f"{key} was not reported"
+        deployment.post_control("remove", table="servers", key=key)
+    deployment.post_control("change", name=longest, change="leave")
+
+
 def check_lost_write_gets_502_and_shed_write_gets_503_with_retry_after(deployment):
     for name in ("w1", "w2"):
         deployment.post_control("change", name=name, change="lose")
@@ -233,9 +330,7 @@
 
 
 def store_call_count(gateway):
-    body = http_call("GET", f"http://127.0.0.1:{gateway['metrics']}/metrics")[2].decode()
-    metrics_by_name = dict(line.rsplit(" ", 1) for line in body.splitlines())
-    return int(metrics_by_name["burdockstep_store_calls_total"])
+    return metric(gateway, "store_calls_total")
 
 
 def check_one_gateway_calls_the_store_at_most_a_third_as_often(deployment):
@@ -297,6 +392,9 @@
                       check_pipelined_requests_are_answered_in_order,
                       check_new_routes_replace_old_ones_on_all_gateways,
                       check_draining_and_removed_upstreams_get_no_requests,
+                      check_upstream_that_says_it_is_leaving_gets_no_requests,
+                      check_upstream_that_asks_for_a_pause_gets_no_requests,
+                      check_odd_registrations_are_ignored_and_the_list_is_followed,
                       check_lost_write_gets_502_and_shed_write_gets_503_with_retry_after,
                       check_requests_are_served_during_store_faults,
                       check_one_gateway_calls_the_store_at_most_a_third_as_often,
--- a/tests/simulation/simulated_entry.cpp
+++ b/tests/simulation/simulated_entry.cpp
@@ -160,9 +160,9 @@
             return;
         directory_->handle_heartbeat(*received_heartbeat, now);
         engine_->update_members(directory_->members());
-        for (upstream_name const& each :
+        for (leaving_report const& each :
              leaving_upstreams_.record_leaving(*received_heartbeat, now))
-            engine_->mark_leaving(each, now, now);
+            engine_->mark_leaving(each.upstream, now, now);
         execute(follower_->handle_peer_head(received_heartbeat->head, from, now));
     });
 }
@@ -240,7 +240,9 @@
             time_point const now = simulation_.queue_.now();
             if (answer.from_leaving_upstream && current_upstreams_.contains(id)) {
                 simulation_.record_leaving_notice(*this, current_upstreams_.at(id));
-                leaving_upstreams_.record_leaving(current_upstreams_.at(id), now, now);
+                leaving_upstreams_.record_leaving(
+                    {.upstream = current_upstreams_.at(id), .incarnation = {}, .reported_at = now},
+                    now);
                 engine_->mark_leaving(current_upstreams_.at(id), now, now);
             }
             if (answer.end == send_end::complete) {
--- a/tests/unit/steering_bounds_test.cpp
+++ b/tests/unit/steering_bounds_test.cpp
@@ -288,7 +288,7 @@
 TEST(admission, retry_after_is_bounded_by_the_time_left)
 {
     for (int i = 0; i < 100; ++i) {
-        CHECK(admission_policy.retry_after(ms(2'000)) <= ms(90));
-        CHECK(admission_policy.retry_after(ms(100)) <= ms(34));
+        CHECK(admission_policy.retry_after(ms(0), ms(2'000)) <= ms(90));
+        CHECK(admission_policy.retry_after(ms(0), ms(100)) <= ms(34));
     }
 }
--- a/tests/unit/upstream_registry_test.cpp
+++ b/tests/unit/upstream_registry_test.cpp
@@ -139,7 +139,7 @@
 TEST(upstream_registry, address_reused_by_another_service_is_a_new_upstream)
 {
     register_upstreams(1);
-    registry.mark_leaving(sample_upstream(1).registration.name);
+    registry.mark_leaving(sample_upstream(1).registration.name, {}, now);
     auto registered_for_other_service = registered(1, 9);
     registered_for_other_service.registration->service = service_name("t");
     registry.apply_changes({registered_for_other_service}, now);
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -17,7 +17,8 @@
                                 .configuration = 3};
     heartbeat_message.head = {.version = 3, .document = digest_of("text")};
     heartbeat_message.member_updates.add(heartbeat_message.sender);
-    heartbeat_message.leaving.add({.name = wire::name_text("levels-brest-1"), .age_ms = 12});
+    heartbeat_message.leaving.add(
+        {.name = wire::registry_text("levels-brest-1"), .started_ms = 99, .age_ms = 12});
     return heartbeat_message;
 }
 
@@ -64,7 +65,7 @@
     while (!heartbeat_message.member_updates.is_full())
         heartbeat_message.member_updates.add(heartbeat_message.sender);
     while (!heartbeat_message.leaving.is_full())
-        heartbeat_message.leaving.add({.name = wire::name_text(std::string(63, 'y'))});
+        heartbeat_message.leaving.add({.name = wire::registry_text(std::string(63, 'y'))});
     CHECK(wire::encode(heartbeat_message).size() <= wire::max_datagram_bytes);
 }
 
