forwarding: a status that says 'not run' needs proof to be delivered

An upstream's complete answer with 408, 429 or 503 that carries no statement that the request was not run was delivered unchanged. Callers read these statuses as a promise that the request never ran and never will, and then send a payment again. Ruled out: that the proof could be read from the status alone (upstreams answer 503 for work that they began). Such an answer now ends in 502, which promises nothing; idempotent requests are tried at another upstream first, as before.

Test: forwarding_engine, status_that_promises_not_run_is_not_delivered_without_ proof, red before (delivered), green after.

--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -13,6 +13,9 @@
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_timeout = 504;
+constexpr int status_request_timeout = 408;
+constexpr int status_too_many_requests = 429;
+constexpr int first_server_error_status = 500;
 /// Retry delay of a request without a route, for which this entry can't say when a slot will be
 /// free.
 constexpr duration default_retry_after = std::chrono::milliseconds(100);
@@ -20,6 +23,13 @@
 /// so that it can complete.
 constexpr double min_service_times_for_repeat = 1.0;
 
+/// True for statuses that tell callers that their request has not run and never will.
+bool promises_not_run(int status)
+{
+    return status == status_request_timeout || status == status_too_many_requests ||
+           status == status_unavailable;
+}
+
 } // namespace
 
 forwarding_engine::commands
@@ -35,42 +45,15 @@
     service_name const service = request.service;
     ++counters_.send_ends[static_cast<std::size_t>(report.result)];
     record_send_end(request, report, now);
-    upstream_tracker* const tracker = tracker_of_send(request);
     switch (report.result) {
-    case send_result::answered: {
-        bool const failed = report.status >= 500;
-        if (!failed && tracker != nullptr) {
-            duration const service_time = now - request.sent_at - expected_round_trip(*tracker);
-            service_pool& pool = pools_.at(service);
-            service_time_estimate& estimate = request.object_is_recent
-                                                  ? pool.recent_object_service_time
-                                                  : pool.new_object_service_time;
-            if (estimate.median() > duration::zero()) {
-                tracker->record_service_time_ratio(static_cast<double>(service_time.count()) /
-                                                   static_cast<double>(estimate.median().count()));
-            }
-            estimate.add_sample(std::max(service_time, duration(1)));
-        }
-        if (failed && !request.discards_answer && is_idempotent(request.matched_route->kind) &&
-            may_send_again(request, now)) {
-            auto& dispatched = std::get<dispatched_request>(request.stage);
-            request.stage = std::move(dispatched).return_to_waiting_without_evidence();
-            if (try_place(request, now, out))
-                break;
-            // No other upstream has a free slot, so the error answer is delivered to the caller.
-            request.stage = std::get<waiting_request>(std::move(request.stage)).dispatch();
-        }
-        ++counters_.answered;
-        if (!request.discards_answer)
-            out.emplace_back(deliver_answer{.id = id});
-        finish(request, now);
+    case send_result::answered:
+        handle_answer(request, report.status, now, out);
         break;
-    }
     case send_result::shed:
         handle_not_run(request, not_run_evidence::from_refusal(), refusal::no_room, now, out);
         break;
     case send_result::other_instance:
-        if (tracker != nullptr)
+        if (upstream_tracker* const tracker = tracker_of_send(request))
             mark_leaving(*tracker, out);
         handle_not_run(request, not_run_evidence::from_refusal(), refusal::no_room, now, out);
         break;
@@ -86,6 +69,51 @@
     return out;
 }
 
+void forwarding_engine::handle_answer(pending_request& request, int status, time_point now,
+                                      commands& out)
+{
+    bool const failed = status >= first_server_error_status;
+    if (!failed)
+        record_service_time(request, now);
+    if (request.discards_answer) {
+        ++counters_.answered;
+        finish(request, now);
+        return;
+    }
+    if (failed && is_idempotent(request.matched_route->kind) && may_send_again(request, now)) {
+        auto& dispatched = std::get<dispatched_request>(request.stage);
+        request.stage = std::move(dispatched).return_to_waiting_without_evidence();
+        if (try_place(request, now, out))
+            return;
+        // No other upstream has a free slot, so the error answer is delivered to the caller.
+        request.stage = std::get<waiting_request>(std::move(request.stage)).dispatch();
+    }
+    if (promises_not_run(status)) {
+        // The upstream hasn't proved it, so the request may have run.
+        end_with_refusal(request, refusal::upstream_failed, now, out);
+        return;
+    }
+    ++counters_.answered;
+    out.emplace_back(deliver_answer{.id = request.arrival.id});
+    finish(request, now);
+}
+
+void forwarding_engine::record_service_time(pending_request const& request, time_point now)
+{
+    upstream_tracker* const tracker = tracker_of_send(request);
+    if (tracker == nullptr)
+        return;
+    duration const service_time = now - request.sent_at - expected_round_trip(*tracker);
+    service_pool& pool = pools_.at(request.service);
+    service_time_estimate& estimate =
+        request.object_is_recent ? pool.recent_object_service_time : pool.new_object_service_time;
+    if (estimate.median() > duration::zero()) {
+        tracker->record_service_time_ratio(static_cast<double>(service_time.count()) /
+                                           static_cast<double>(estimate.median().count()));
+    }
+    estimate.add_sample(std::max(service_time, duration(1)));
+}
+
 bool forwarding_engine::may_send_again(pending_request const& request, time_point now)
 {
     if (request.sends >= request.matched_route->max_upstreams)
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -245,6 +245,9 @@
     void adopt_spill_fractions(wire::slot_report const& report, time_point now);
 
     // Ends of sends and requests (forwarding_endings.cpp).
+    /// Delivers or replaces the upstream's complete answer, or sends the request again.
+    void handle_answer(pending_request& request, int status, time_point now, commands& out);
+    void record_service_time(pending_request const& request, time_point now);
     /// Ends or resends a request that its upstream provably didn't run.
     void handle_not_run(pending_request& request, not_run_evidence const& evidence, refusal reason,
                         time_point now, commands& out);
--- a/tests/unit/forwarding_engine_test.cpp
+++ b/tests/unit/forwarding_engine_test.cpp
@@ -165,6 +165,19 @@
     CHECK(find_command<deliver_answer>(end_send(2, send_result::answered, 500)) != nullptr);
 }
 
+TEST(forwarding_engine, status_that_promises_not_run_is_not_delivered_without_proof)
+{
+    for (int const status : {408, 429, 503}) {
+        start(1);
+        std::uint64_t const id = last_request + 1;
+        submit("/pay/x");
+        auto const ended = end_send(id, send_result::answered, status);
+        CHECK(find_command<deliver_answer>(ended) == nullptr);
+        LONGS_EQUAL(502, find_command<refuse_request>(ended)->status);
+        CHECK(!find_command<refuse_request>(ended)->retry_after.has_value());
+    }
+}
+
 TEST(forwarding_engine, no_further_send_without_retry_budget)
 {
     start(2, 0);
