gateway: work for all pairs of entry and upstream done only where something changed

Each change of any member, a new configuration version too, copied all members for four tasks and hashed all entries for each upstream: at a start of n entries n x n copies of n records. Ruled out: the look at all upstreams for each request (a tenth of the gateways' time), which belongs to the placement by owners.

Now: members are told at most each 50 ms; an unchanged set of entries changes nothing; precedence is counted for added and gone entries only; probes are looked for among ejected upstreams only; a slot report no longer copies the sender's counts; changed counts are found by key; spilled fractions are looked at only while one can be adopted.

Test: forwarding_engine, precedence_for_slots_is_the_same_however_the_list_of_ entries_came_about (three entries, 40 upstreams), green before and after, as the decisions must not change.

--- a/libraries/dispatch/reported_slot_usage.cpp
+++ b/libraries/dispatch/reported_slot_usage.cpp
@@ -17,32 +17,38 @@
     bool const incarnation_changed = entry.incarnation != report.incarnation;
     if (!incarnation_changed && report.number <= entry.number)
         return freed_upstreams;
-    auto const counts_before = entry.counts;
-    if (incarnation_changed || report.is_full_report)
-        clear_counts(entry);
+    bool const replaces_all_counts = incarnation_changed || report.is_full_report;
     entry.incarnation = report.incarnation;
     entry.number = report.number;
     entry.received_at = now;
-    for (wire::upstream_request_count const& each : report.counts.get())
-        set_count(entry, upstream_key(each.upstream), each.under_way);
-    for (auto const& [upstream, count] : counts_before) {
-        auto const found = entry.counts.find(upstream);
-        if (found == entry.counts.end() || found->second < count)
+    std::unordered_map<upstream_key, unsigned> missing_counts;
+    if (replaces_all_counts)
+        missing_counts = entry.counts;
+    for (wire::upstream_request_count const& each : report.counts.get()) {
+        upstream_key const upstream(each.upstream);
+        missing_counts.erase(upstream);
+        if (set_count(entry, upstream, each.under_way))
             freed_upstreams.push_back(upstream);
     }
+    for (auto const& [upstream, count] : missing_counts) {
+        set_count(entry, upstream, 0);
+        freed_upstreams.push_back(upstream);
+    }
     return freed_upstreams;
 }
 
-void reported_slot_usage::set_count(entry_counts& entry, upstream_key upstream, unsigned count)
+bool reported_slot_usage::set_count(entry_counts& entry, upstream_key upstream, unsigned count)
 {
     unsigned& recorded = entry.counts[upstream];
     unsigned& total = totals_[upstream];
+    bool const is_lower = count < recorded;
     total = total - recorded + count;
     recorded = count;
     if (total == 0)
         totals_.erase(upstream);
     if (count == 0)
         entry.counts.erase(upstream);
+    return is_lower;
 }
 
 void reported_slot_usage::clear_counts(entry_counts& entry)
--- a/libraries/dispatch/reported_slot_usage.hpp
+++ b/libraries/dispatch/reported_slot_usage.hpp
@@ -49,7 +49,8 @@
         std::unordered_map<upstream_key, unsigned> counts; ///< Requests in progress; never 0.
     };
 
-    void set_count(entry_counts& entry, upstream_key upstream, unsigned count);
+    /// Returns true if the count is lower than before.
+    bool set_count(entry_counts& entry, upstream_key upstream, unsigned count);
     void clear_counts(entry_counts& entry);
 
     std::map<instance_name, entry_counts> entries_;
--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -214,6 +214,8 @@
         found->second.record_send_end(report, now);
     else
         found->second.record_cancelled_send(); // How it ended says nothing about the present one.
+    if (found->second.is_ejected())
+        ejected_upstreams_.insert(request.upstream);
     mark_count_changed(found->second);
 }
 
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -1,6 +1,7 @@
 #include "libraries/forwarding/forwarding_engine.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace burdockstep {
@@ -18,6 +19,12 @@
 /// Time limit of a request whose caller gave none. The route's timeout may be shorter.
 constexpr duration max_request_duration = std::chrono::seconds(60);
 
+wire::upstream_request_count count_of(upstream_tracker const& tracker)
+{
+    return {.upstream = tracker.key().get(),
+            .under_way = static_cast<std::uint16_t>(tracker.own_requests_under_way())};
+}
+
 } // namespace
 
 char const* name_of(refusal reason)
@@ -113,7 +120,7 @@
             trackers_.try_emplace(name, options_.tracker_options, known, proximity);
         upstream_tracker& tracker = inserted->second;
         if (is_new)
-            update_slot_precedence(tracker);
+            update_slot_precedence(tracker, own_region_entries_, {});
         else
             tracker.update(known);
         if (!known.removed)
@@ -132,6 +139,9 @@
 
 void forwarding_engine::update_entries(std::map<instance_name, region_name> const& entries)
 {
+    if (entries == entries_)
+        return;
+    auto const previous_region_entries = own_region_entries_;
     for (auto const& [name, region] : entries_) {
         if (!entries.contains(name))
             peer_counts_.forget(name);
@@ -143,8 +153,17 @@
             own_region_entries_.push_back(name);
     }
     options_.retry_budget.entries = std::max<std::size_t>(entries_.size(), 1);
+    // Both lists are sorted by name.
+    std::vector<instance_name> added;
+    std::vector<instance_name> gone;
+    std::set_difference(own_region_entries_.begin(), own_region_entries_.end(),
+                        previous_region_entries.begin(), previous_region_entries.end(),
+                        std::back_inserter(added));
+    std::set_difference(previous_region_entries.begin(), previous_region_entries.end(),
+                        own_region_entries_.begin(), own_region_entries_.end(),
+                        std::back_inserter(gone));
     for (auto& [name, tracker] : trackers_)
-        update_slot_precedence(tracker);
+        update_slot_precedence(tracker, added, gone);
 }
 
 forwarding_engine::commands forwarding_engine::handle_slot_report(wire::slot_report const& report,
@@ -303,7 +322,12 @@
 {
     if (!routes_)
         return;
-    for (auto& [name, tracker] : trackers_) {
+    std::erase_if(ejected_upstreams_, [&](upstream_name const& each) {
+        auto const found = trackers_.find(each);
+        return found == trackers_.end() || !found->second.is_ejected();
+    });
+    for (upstream_name const& name : ejected_upstreams_) {
+        upstream_tracker& tracker = trackers_.at(name);
         if (!tracker.needs_probe(now))
             continue;
         service_settings const* const terms =
@@ -356,15 +380,10 @@
 std::vector<wire::upstream_request_count> forwarding_engine::take_changed_counts()
 {
     std::vector<wire::upstream_request_count> counts;
-    auto const changed = std::exchange(changed_counts_, {});
-    if (changed.empty())
-        return counts;
-    for (auto const& [name, tracker] : trackers_) {
-        if (changed.contains(tracker.key())) {
-            counts.push_back(
-                {.upstream = tracker.key().get(),
-                 .under_way = static_cast<std::uint16_t>(tracker.own_requests_under_way())});
-        }
+    for (upstream_key const each : std::exchange(changed_counts_, {})) {
+        auto const found = trackers_by_key_.find(each);
+        if (found != trackers_by_key_.end())
+            counts.push_back(count_of(*found->second));
     }
     return counts;
 }
@@ -373,11 +392,8 @@
 {
     std::vector<wire::upstream_request_count> counts;
     for (auto const& [name, tracker] : trackers_) {
-        if (tracker.own_requests_under_way() > 0) {
-            counts.push_back(
-                {.upstream = tracker.key().get(),
-                 .under_way = static_cast<std::uint16_t>(tracker.own_requests_under_way())});
-        }
+        if (tracker.own_requests_under_way() > 0)
+            counts.push_back(count_of(tracker));
     }
     return counts;
 }
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -213,9 +213,10 @@
                                          time_point now);
     /// True if this entry may use one of the `free` slots now. Other entries may have precedence.
     bool may_take_slot(upstream_tracker& tracker, unsigned free, time_point now) const;
-    /// Counts the entries of this region with precedence over this one for a free slot of the
-    /// upstream.
-    void update_slot_precedence(upstream_tracker& tracker) const;
+    /// Updates the number of entries of this region with precedence over this one for a free slot
+    /// of the upstream, after entries were added and others have gone.
+    void update_slot_precedence(upstream_tracker& tracker, std::vector<instance_name> const& added,
+                                std::vector<instance_name> const& gone) const;
     /// Tries to send the service's waiting requests, the most urgent ones first.
     void place_waiting(service_name const& service, time_point now, commands& out);
     void place_all_waiting(time_point now, commands& out);
@@ -290,6 +291,8 @@
     weighted_split service_splits_;
     std::unordered_map<upstream_name, upstream_tracker> trackers_;
     std::unordered_map<upstream_key, upstream_tracker const*> trackers_by_key_;
+    /// Upstreams that may be ejected; those that no longer are leave it when probes are sent.
+    std::set<upstream_name> ejected_upstreams_;
     std::map<service_name, service_pool> pools_;
     reported_slot_usage peer_counts_;
     outbound_fraction_limiter region_share_;
--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -186,15 +186,21 @@
     return is_sender_to_cold_upstream(tracker) && tracker.has_cold_token(cold_rate, now);
 }
 
-void forwarding_engine::update_slot_precedence(upstream_tracker& tracker) const
+void forwarding_engine::update_slot_precedence(upstream_tracker& tracker,
+                                               std::vector<instance_name> const& added,
+                                               std::vector<instance_name> const& gone) const
 {
+    if (added.empty() && gone.empty())
+        return;
     std::uint64_t const own_hash = hash_of(options_.instance.get(), tracker.key().get());
-    unsigned ahead = 0;
-    for (instance_name const& each : own_region_entries_) {
-        if (each != options_.instance && hash_of(each.get(), tracker.key().get()) > own_hash)
-            ++ahead;
-    }
-    tracker.set_entries_ahead(ahead);
+    auto const count_ahead = [&](std::vector<instance_name> const& entries) {
+        return static_cast<unsigned>(
+            std::count_if(entries.begin(), entries.end(), [&](instance_name const& each) {
+                return each != options_.instance &&
+                       hash_of(each.get(), tracker.key().get()) > own_hash;
+            }));
+    };
+    tracker.set_entries_ahead(tracker.entries_ahead() + count_ahead(added) - count_ahead(gone));
 }
 
 bool forwarding_engine::may_take_slot(upstream_tracker& tracker, unsigned free,
@@ -344,6 +350,11 @@
 
 void forwarding_engine::adopt_spill_fractions(wire::slot_report const& report, time_point now)
 {
+    bool const may_adopt = std::any_of(pools_.begin(), pools_.end(), [&](auto const& each) {
+        return each.second.spill.may_adopt(now);
+    });
+    if (!may_adopt || report.spilled_fractions.get().empty())
+        return;
     auto const sender = entries_.find(instance_name(report.instance.get()));
     if (sender == entries_.end() || sender->second != options_.region)
         return;
--- a/libraries/steering/spill_controller.cpp
+++ b/libraries/steering/spill_controller.cpp
@@ -21,9 +21,9 @@
 
 bool spill_controller::adopt(double part, time_point now)
 {
-    bool const too_late = begun_ && now - begun_at_ > options_.adoption_window;
-    if (too_late || std::exchange(adopted_, true))
+    if (!may_adopt(now))
         return false;
+    adopted_ = true;
     begin(part, now);
     spilled_fraction_ = std::min(options_.max_spilled_fraction, part);
     return true;
--- a/libraries/steering/spill_controller.hpp
+++ b/libraries/steering/spill_controller.hpp
@@ -54,6 +54,11 @@
     /// while others were already serving. Works once, and only within the adoption window after
     /// `begin`. Returns true if the fraction was adopted.
     bool adopt(double part, time_point now);
+    /// True if `adopt` would adopt a fraction now.
+    bool may_adopt(time_point now) const
+    {
+        return !adopted_ && (!begun_ || now - begun_at_ <= options_.adoption_window);
+    }
     /// True once `begin` or `adopt` has set the fraction of objects that are served in other
     /// regions.
     bool has_begun() const { return begun_; }
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -16,12 +16,15 @@
     .suspicion_timeout = std::chrono::milliseconds(1'100),
 };
 
+/// Far below the time within which look-ups must drop an entry that is gone.
+constexpr duration min_publish_interval = std::chrono::milliseconds(50);
+
 } // namespace
 
 peers_task::peers_task(gateway_context& context)
     : context_(context),
       directory_(membership_settings, context.settings.instance, context.run, context.clock.now()),
-      socket_(context.loop), heartbeat_timer_(context.loop)
+      socket_(context.loop), heartbeat_timer_(context.loop), publish_timer_(context.loop)
 {}
 
 result<void> peers_task::try_start()
@@ -133,7 +136,8 @@
     for (auto& [name, each] : merged_entries)
         listed.push_back(std::move(each));
     directory_.apply_list(listed, context_.clock.now());
-    publish_members();
+    // Datagrams of newly listed entries are accepted from now on.
+    targets_.rebuild(context_.settings, directory_.members());
     // Introduces this entry to the newly listed ones immediately.
     send_heartbeats();
 }
@@ -154,9 +158,24 @@
 
 void peers_task::publish_members()
 {
-    if (directory_.change_count() == published_changes_)
+    if (directory_.change_count() == published_changes_ || publication_scheduled_)
         return;
+    duration const since_last = context_.clock.now() - last_published_at_;
+    if (since_last >= min_publish_interval) {
+        publish_members_now();
+        return;
+    }
+    publication_scheduled_ = true;
+    publish_timer_.start_once(min_publish_interval - since_last, [this] {
+        publication_scheduled_ = false;
+        publish_members_now();
+    });
+}
+
+void peers_task::publish_members_now()
+{
     published_changes_ = directory_.change_count();
+    last_published_at_ = context_.clock.now();
     auto members = directory_.members();
     targets_.rebuild(context_.settings, members);
     log_state_changes(members);
--- a/services/burdockstep_gateway/peers/peers_task.hpp
+++ b/services/burdockstep_gateway/peers/peers_task.hpp
@@ -32,7 +32,10 @@
     void process_heartbeat(wire::heartbeat const& heartbeat_message);
     void send_heartbeats();
     void merge_entry_records(entry_records_received const& received_records);
+    /// Tells the other tasks of changed entries, at most once in `min_publish_interval`: when many
+    /// entries start together, each of them would otherwise copy all entries for each change.
     void publish_members();
+    void publish_members_now();
     void log_state_changes(std::vector<member_view> const& members);
 
     gateway_context& context_;
@@ -47,6 +50,9 @@
     wire::member_state own_state_ = wire::member_state::serving;
     configuration_version configuration_version_;
     std::uint64_t directives_version_ = 0;
+    timer publish_timer_;
+    bool publication_scheduled_ = false;
+    time_point last_published_at_;
     std::uint64_t published_changes_ = 0;
     std::uint64_t dropped_datagrams_ = 0;
 };
--- a/tests/unit/forwarding_engine_test.cpp
+++ b/tests/unit/forwarding_engine_test.cpp
@@ -287,6 +287,37 @@
     CHECK(find_command<send_request>(engine->resume(now + ms(5))) != nullptr);
 }
 
+TEST(forwarding_engine, precedence_for_slots_is_the_same_however_the_list_of_entries_came_about)
+{
+    instance_name const own("e");
+    region_name const region("r");
+    std::map<instance_name, region_name> const first{
+        {own, region}, {instance_name("a"), region}, {instance_name("b"), region}};
+    std::map<instance_name, region_name> const last{
+        {own, region}, {instance_name("b"), region}, {instance_name("c"), region}};
+    unsigned sent_at_once = 0;
+    for (unsigned number = 1; number <= 40; ++number) {
+        std::map<upstream_name, known_upstream> const upstreams{
+            {sample_upstream(number).registration.name, sample_upstream(number)}};
+        std::vector<bool> is_sent_at_once;
+        for (bool const by_steps : {true, false}) {
+            start(0);
+            if (by_steps) {
+                engine->update_entries(first);
+                engine->update_upstreams(upstreams, now);
+            }
+            engine->update_entries(last);
+            engine->update_upstreams(upstreams, now);
+            is_sent_at_once.push_back(find_command<send_request>(submit("/read/x")) != nullptr);
+        }
+        CHECK(is_sent_at_once.front() == is_sent_at_once.back());
+        sent_at_once += is_sent_at_once.front() ? 1 : 0;
+    }
+    // Each of the three entries has precedence for about a third of the upstreams.
+    CHECK(sent_at_once >= 7);
+    CHECK(sent_at_once <= 20);
+}
+
 TEST(forwarding_engine, older_document_does_not_replace_a_newer_one)
 {
     start(1);
