--- a/meta/prove_red.sh
+++ b/meta/prove_red.sh
@@ -1,9 +1,11 @@
 #!/usr/bin/env bash
 # Breaks one mechanism at a time in a temporary copy of HEAD and checks that at least one test fails.
 # Not part of CI.
+# Usage: meta/prove_red.sh [PATTERN], where PATTERN selects mechanisms by a part of their name.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+pattern=${1:-}
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 git archive HEAD | tar -x -C "$scratch"
@@ -16,6 +18,7 @@
 # unit tests and the simulation, and restores FILE. Sets `unnoticed` if all of them pass.
 break_one() {
     local name=$1 file=$2
+    [[ $name == *"$pattern"* ]] || return 0
     cp "$file" "$file.saved"
     python3 - "$file" "$3" "$4" <<'PYTHON'
 import sys
@@ -82,4 +85,45 @@
     tests/simulation/simulated_entry.cpp \
     "incarnation_id const incarnation(simulation_.random_.next());" \
     "incarnation_id const incarnation(1 + simulation_.random_.below(64));"
+break_one "gateway: a leaving upstream's own word is ignored" \
+    libraries/forwarding/forwarding_endings.cpp "if (notice.leaving)" "if (false)"
+break_one "gateway: an older state of the registry undoes a leaving mark" \
+    libraries/forwarding/upstream_tracker.cpp \
+    "known_.draining = known_.draining || was_leaving;" "(void)was_leaving;"
+break_one "gateway: a notice of an earlier incarnation counts" \
+    libraries/forwarding/forwarding_endings.cpp "found->second.incarnation() != incarnation" "false"
+break_one "gateway: a leaving mark ends with its registration" \
+    libraries/discovery/upstream_registry.cpp \
+    "known.draining = has_leaving_mark(registration);" "known.draining = false;"
+break_one "gateway: a report of an earlier incarnation marks the present one" \
+    libraries/discovery/upstream_registry.cpp "if (!is_known_incarnation)" "if (false)"
+break_one "gateway: a later, shorter pause ends a longer one" \
+    libraries/forwarding/upstream_tracker.cpp "std::max(requested_pause_end_, now + pause)" "now + pause"
+break_one "gateway: a paused upstream gets requests" libraries/forwarding/upstream_tracker.hpp \
+    "known_.is_usable() && !ejected_ && now >= requested_pause_end_" "known_.is_usable() && !ejected_"
+break_one "gateway: requests wait although all upstreams are paused for longer" \
+    libraries/forwarding/forwarding_engine.cpp \
+    "if (accepted_from && *accepted_from > now + *hold)" "if (false)"
+break_one "gateway: an unproved 503 is delivered" libraries/forwarding/forwarding_endings.cpp \
+    "if (promises_not_run(status))" "if (false)"
+break_one "gateway: any number of slots is believed" platform/operator_documents.cpp \
+    "*slots > max_slots" "false"
+break_one "gateway: an unsigned 64-bit integer is cast to a signed one" platform/json_access.cpp \
+    "    if (!found->is_int64())
+        return std::nullopt;" \
+    "    if (found->is_uint64())
+        return static_cast<std::int64_t>(found->as_uint64());
+    if (!found->is_int64())
+        return std::nullopt;"
+break_one "gateway: an update of the registry is split by count only" \
+    libraries/discovery/registry_update.cpp "pieces.back().changes.is_full() || is_oversized" \
+    "pieces.back().changes.is_full()"
+break_one "gateway: the bytes of a call aren't limited" libraries/http1/client_connection.cpp \
+    "if (call_bytes_ > limits_.max_call_bytes)" "if (false)"
+break_one "gateway: the time of a call isn't limited" libraries/http1/client_connection.cpp \
+    "if (options_->call_timeout > duration::zero())" "if (false)"
+break_one "gateway: the memory of all answers isn't limited" libraries/http1/client.cpp \
+    "if (buffered_bytes_ <= limits_.max_buffered_bytes)" "if (true)"
+break_one "a drained region runs requests again when the others have no room" \
+    libraries/entry/entry_routing.cpp "outward.note_refused();" ""
 exit "$unnoticed"
