discovery: few calls to the store at a start, and while it or its readers are away

All entries think at first that they read for the others and wait at the store, so each of 295 written records ended the waits of all; writes queue at the store one after another, were given up after 0.8 s while they waited, and were written again, which lengthened the queue. A silent reader let all entries read at the same moment; a rejecting store got a call from each loop every 0.35 to 1 s.

When the readers are silent, the entry whose random time-out ends first reads in their place and tells all, before most others have read. Ruled out: spreading rows over parts (a read of all parts for each entry instead).

Tests: group store_pacing (pauses; 100 entries rejected for 18 s make at most 1,600 calls, some 4,600 before; 30 to 5,200 entries, at most an eighth read when the readers fall silent, all before; well within the drain limit). New classes, so not seen red but for the process test, which stays green.

--- a/services/burdockstep_gateway/discovery/discovery_task.cpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.cpp
@@ -64,7 +64,8 @@
 
 void discovery_task::broadcast_directives_version()
 {
-    if (!is_registry_reader_ || !registrations_reader_.has_full_registry())
+    bool const announces = is_registry_reader_ || !receives_updates_;
+    if (!announces || !registrations_reader_.has_full_registry())
         return;
     std::uint64_t const version = registrations_reader_.version().get();
     broadcast_updates(make_registry_update_pieces(version, version, {}));
@@ -107,6 +108,9 @@
         broadcast_directives_version();
     }
     else if (auto const* const members = std::get_if<members_changed>(&new_event)) {
+        registrations_reader_.set_entries(static_cast<std::size_t>(
+            std::count_if(members->members.begin(), members->members.end(),
+                          [](member_view const& each) { return each.is_serving(); })));
         set_is_registry_reader(is_registry_reader(context_.settings.instance, members->members));
     }
     else if (auto const* const update = std::get_if<registry_update_received>(&new_event)) {
--- a/services/burdockstep_gateway/discovery/entries_reader.cpp
+++ b/services/burdockstep_gateway/discovery/entries_reader.cpp
@@ -9,23 +9,29 @@
 
 namespace {
 
-/// In a new deployment all entries start together. The list is read when most records have been
-/// written, and polled once more for the late ones.
-constexpr duration first_read_delay = std::chrono::milliseconds(700);
+/// Spreads the first reads of entries that start together.
+constexpr duration max_first_read_delay = std::chrono::milliseconds(200);
+/// In a new deployment all entries start together. The list is polled again when most records have
+/// been written.
 constexpr duration second_read_delay = std::chrono::milliseconds(2'500);
+/// A new entry is found by callers a little later if the list is polled less often.
+constexpr growing_pause_options poll_pause_options{.first = std::chrono::milliseconds(250),
+                                                   .longest = std::chrono::milliseconds(2'000)};
+/// The store runs the writes of all entries one after another.
+constexpr growing_pause_options write_pause_options{.first = std::chrono::milliseconds(400),
+                                                    .longest = std::chrono::milliseconds(3'000)};
 /// How long the store is asked to wait for a change. If a failed connection delays the news of a
 /// new entry by some seconds, nothing is lost: callers are also served by the other entries of its
 /// place.
 constexpr duration max_poll_wait = std::chrono::seconds(5);
-/// Random delay that keeps entries that learn of a change at the same time from polling together.
-constexpr duration max_poll_jitter = std::chrono::milliseconds(400);
 
 } // namespace
 
 entries_reader::entries_reader(gateway_context& context, discovery_store& store_client,
                                store_monitor& monitor)
     : context_(context), store_client_(store_client), store_monitor_(monitor),
-      write_timer_(context.loop), read_timer_(context.loop)
+      write_timer_(context.loop), read_timer_(context.loop), poll_pause_(poll_pause_options),
+      write_pause_(write_pause_options)
 {}
 
 listed_member entries_reader::own_record() const
@@ -43,9 +49,10 @@
 void entries_reader::start()
 {
     context_.post(entry_records_received{.entries = {own_record()}, .is_full_list = false});
-    write_own_record();
     call_pending_ = true;
-    read_timer_.start_once(first_read_delay, [this] { read_all(); });
+    auto const spread = static_cast<std::uint64_t>(max_first_read_delay.count());
+    duration const delay(static_cast<std::int64_t>(context_.random.below(spread)));
+    read_timer_.start_once(delay, [this] { read_all(); });
 }
 
 void entries_reader::write_own_record()
@@ -53,7 +60,7 @@
     store_client_.write_entry(own_record(), [this](discovery_store_status status) {
         store_monitor_.record_result(store_call_purpose::own_entry, status);
         if (status != discovery_store_status::done)
-            write_timer_.start_once(store_monitor_.next_retry_delay(),
+            write_timer_.start_once(write_pause_.next(context_.random),
                                     [this] { write_own_record(); });
     });
 }
@@ -94,6 +101,9 @@
     last_change_version_ = std::max(last_change_version_, answer.content.last_change_version.get());
     context_.post(entry_records_received{.entries = answer.content.entries, .is_full_list = true});
     if (!std::exchange(first_read_done_, true)) {
+        auto const& entries = answer.content.entries;
+        if (std::find(entries.begin(), entries.end(), own_record()) == entries.end())
+            write_own_record();
         read_timer_.start_once(second_read_delay, [this] { long_poll(duration::zero()); });
         return;
     }
@@ -114,7 +124,8 @@
         return;
     }
     version_ = std::max(version_, answer.version);
-    if (!answer.content.entries.empty()) {
+    bool const has_changes = !answer.content.entries.empty();
+    if (has_changes) {
         std::uint64_t const previous_version = last_change_version_;
         last_change_version_ =
             std::max(last_change_version_, answer.content.last_change_version.get());
@@ -126,6 +137,8 @@
                                               answer.content.entries)});
         }
     }
+    if (!has_changes)
+        poll_pause_.reset();
     finish_call();
 }
 
@@ -136,18 +149,16 @@
     // was not in the answer, it was a removal.
     if (version_.get() >= peer_change_version_)
         last_change_version_ = std::max(last_change_version_, peer_change_version_);
-    if (is_long_polling_)
-        long_poll(max_poll_wait);
-    else if (peer_change_version_ > last_change_version_)
-        poll_after_jitter();
+    if (is_long_polling_ || peer_change_version_ > last_change_version_)
+        poll_after_pause();
 }
 
-void entries_reader::poll_after_jitter()
+void entries_reader::poll_after_pause()
 {
     call_pending_ = true;
-    auto const jitter_range = static_cast<std::uint64_t>(max_poll_jitter.count());
-    duration const delay(static_cast<std::int64_t>(context_.random.below(jitter_range)));
-    read_timer_.start_once(delay, [this] { long_poll(duration::zero()); });
+    read_timer_.start_once(poll_pause_.next(context_.random), [this] {
+        long_poll(is_long_polling_ ? max_poll_wait : duration::zero());
+    });
 }
 
 void entries_reader::set_long_polling(bool enabled)
@@ -161,7 +172,7 @@
 {
     peer_change_version_ = std::max(peer_change_version_, change_version);
     if (!call_pending_ && peer_change_version_ > last_change_version_)
-        poll_after_jitter();
+        poll_after_pause();
 }
 
 void entries_reader::handle_update(wire::entries_update_message const& update)
--- a/services/burdockstep_gateway/discovery/entries_reader.hpp
+++ b/services/burdockstep_gateway/discovery/entries_reader.hpp
@@ -5,6 +5,7 @@
 
 #include "libraries/core/log.hpp"
 #include "libraries/discovery/discovery_store.hpp"
+#include "libraries/discovery/growing_pause.hpp"
 
 namespace burdockstep::gateway {
 
@@ -16,7 +17,8 @@
 public:
     entries_reader(gateway_context& context, discovery_store& store_client, store_monitor& monitor);
 
-    /// Publishes and writes this entry's own record and schedules the first read.
+    /// Publishes this entry's own record and schedules the first read, after which the record is
+    /// written unless the list already has it.
     void start();
     /// Enables or disables long polling: calls on which the store waits for a change.
     void set_long_polling(bool enabled);
@@ -36,7 +38,7 @@
     listed_member own_record() const;
     void write_own_record();
     void read_all();
-    void poll_after_jitter();
+    void poll_after_pause();
     void long_poll(duration max_wait);
     void handle_full_list(entries_answer const& answer);
     void handle_changes(entries_answer const& answer);
@@ -52,6 +54,10 @@
     store_version version_; ///< Version of the store up to which changes are known.
     std::uint64_t last_change_version_ = 0;
     std::uint64_t peer_change_version_ = 0; ///< Newest version that a peer has announced.
+    /// Grows while changes keep coming: when many entries start together, each record written
+    /// would otherwise end the long polls of all entries.
+    growing_pause poll_pause_;
+    growing_pause write_pause_;
     bool first_read_done_ = false;
     bool call_pending_ = false; ///< A call is under way or scheduled.
     bool is_long_polling_ = false;
--- a/services/burdockstep_gateway/discovery/registrations_reader.cpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.cpp
@@ -1,20 +1,11 @@
 #include "services/burdockstep_gateway/discovery/registrations_reader.hpp"
 
+#include "libraries/discovery/registry_read_interval.hpp"
+
 #include <utility>
 
 namespace burdockstep::gateway {
 
-namespace {
-
-/// Every entry must learn of a leaving upstream well within the drain limit, even if one update is
-/// lost. That takes a read interval, the time-out for the next update and a read across regions.
-constexpr int reads_per_drain_limit = 4;
-/// An entry that receives no registry update for this many read intervals reads the registry
-/// itself.
-constexpr double update_timeout_intervals = 1.25;
-
-} // namespace
-
 registrations_reader::registrations_reader(gateway_context& context, discovery_store& store_client,
                                            store_monitor& monitor, reader_callbacks callbacks)
     : context_(context), store_client_(store_client), store_monitor_(monitor),
@@ -24,17 +15,19 @@
 
 duration registrations_reader::read_interval() const
 {
-    duration const reader_interval = context_.settings.drain_limit / reads_per_drain_limit;
+    duration const drain_limit = context_.settings.drain_limit;
     if (is_registry_reader_)
-        return reader_interval;
-    return std::chrono::duration_cast<duration>(reader_interval * update_timeout_intervals);
+        return registry_reader_interval(drain_limit);
+    return registry_update_timeout(drain_limit, entries_, context_.random);
 }
 
 void registrations_reader::schedule_read(duration delay)
 {
     read_timer_.start_once(delay, [this] {
-        if (!is_registry_reader_)
+        if (!is_registry_reader_) {
+            stands_in_for_readers_ = true;
             callbacks_.on_update_timeout();
+        }
         start_read();
     });
 }
@@ -109,7 +102,8 @@
         registry_.apply_snapshot(answer.content, now);
     else
         registry_.apply_changes(answer.content, now);
-    if (continues_known_version && is_registry_reader_)
+    bool const announces = is_registry_reader_ || std::exchange(stands_in_for_readers_, false);
+    if (continues_known_version && announces)
         callbacks_.on_changes_read(
             make_registry_update_pieces(version_.get(), answer.version.get(), update));
     // A full read that began before the store's recovery was noted is repeated.
@@ -127,6 +121,7 @@
             start_read();
         return false;
     }
+    stands_in_for_readers_ = false;
     // An update without changes confirms that the registry is unchanged up to its version.
     version_ = update.version;
     registry_.apply_changes(update.changes, context_.clock.now());
--- a/services/burdockstep_gateway/discovery/registrations_reader.hpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.hpp
@@ -33,6 +33,8 @@
     void start() { start_read(); }
     /// Sets whether this entry reads the registry on behalf of all.
     void set_is_registry_reader(bool is_reader) { is_registry_reader_ = is_reader; }
+    /// Sets the number of live entries, including this one.
+    void set_entries(std::size_t entries) { entries_ = entries; }
     /// Reads immediately, because the known state may be out of date.
     void read_now();
     /// Handles the store's recovery from an outage: the next read reads the whole registry.
@@ -70,6 +72,9 @@
     bool has_full_registry_ = false;
     bool history_truncated_ = false; ///< The next full read is announced by its differences.
     bool read_pending_ = false;
+    /// The readers are silent, and this entry sends what it reads to all in their place.
+    bool stands_in_for_readers_ = false;
+    std::size_t entries_ = 1;
 };
 
 } // namespace burdockstep::gateway
--- a/services/burdockstep_gateway/discovery/store_monitor.cpp
+++ b/services/burdockstep_gateway/discovery/store_monitor.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-constexpr duration min_store_retry_delay = std::chrono::milliseconds(250);
-/// An entry whose calls the store rejects retries about once a second: more frequent calls would
-/// not get it the missing data sooner but would add to the store's load.
-constexpr duration max_store_retry_delay = std::chrono::milliseconds(700);
 /// After this long without an answer the store counts as unreachable and the known routes as
 /// possibly out of date: a new configuration is in force at all other entries after about this
 /// time.
@@ -56,7 +52,6 @@
         record_answer();
         return;
     }
-    ++consecutive_failures_;
     // A single call may fail on a broken connection while other calls are answered.
     duration const time_without_answer = context_.clock.now() - last_answer_at_;
     if (!is_reachable_ || time_without_answer < store_unreachable_timeout)
@@ -73,7 +68,7 @@
     time_point const now = context_.clock.now();
     duration const outage_duration = now - last_answer_at_;
     last_answer_at_ = now;
-    consecutive_failures_ = 0;
+    retry_pause_.reset();
     if (is_reachable_)
         return;
     is_reachable_ = true;
@@ -92,10 +87,7 @@
 
 duration store_monitor::next_retry_delay()
 {
-    duration const delay =
-        std::min(max_store_retry_delay, min_store_retry_delay * (1 + consecutive_failures_ / 4));
-    auto const jitter_range = static_cast<std::uint64_t>(delay.count());
-    return delay / 2 + duration(static_cast<std::int64_t>(context_.random.below(jitter_range)));
+    return retry_pause_.next(context_.random);
 }
 
 } // namespace burdockstep::gateway
--- a/services/burdockstep_gateway/discovery/store_monitor.hpp
+++ b/services/burdockstep_gateway/discovery/store_monitor.hpp
@@ -5,6 +5,7 @@
 
 #include "libraries/core/log.hpp"
 #include "libraries/discovery/discovery_store.hpp"
+#include "libraries/discovery/growing_pause.hpp"
 
 #include <array>
 #include <functional>
@@ -50,8 +51,7 @@
     /// Records an update from another entry that has just read the store. While the store counts as
     /// reachable this is equivalent to an answer.
     void record_peer_update();
-    /// Delay before a failed call is repeated, randomised so that entries whose calls failed
-    /// together do not retry together.
+    /// Delay before a failed call is repeated. It grows until the store answers.
     duration next_retry_delay();
 
     bool is_reachable() const { return is_reachable_; }
@@ -70,7 +70,7 @@
     bool is_reachable_ = false;
     bool has_been_reachable_ = false; ///< The store has answered at least once.
     time_point last_answer_at_;
-    unsigned consecutive_failures_ = 0;
+    growing_pause retry_pause_{growing_pause_options{}};
     std::uint64_t calls_ = 0;
     std::array<store_call_counts, store_call_purpose_count> counts_{};
 };
