--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -88,6 +88,16 @@
     return service_names;
 }
 
+std::vector<service_times> forwarding_engine::median_service_times() const
+{
+    std::vector<service_times> times;
+    for (auto const& [name, pool] : pools_)
+        times.push_back({.service = name,
+                         .recent_object = pool.recent_object_service_time.median(),
+                         .new_object = pool.new_object_service_time.median()});
+    return times;
+}
+
 forwarding_engine::commands
 forwarding_engine::update_document(std::shared_ptr<routing_document const> document, time_point now)
 {
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -72,6 +72,14 @@
     std::array<std::uint64_t, refusal_count> refusals{};      ///< Own answers by `refusal`.
 };
 
+/// Median service times of one service at this entry's upstreams; zero while unknown.
+struct service_times
+{
+    service_name service;
+    duration recent_object{}; ///< Of requests for an object that the upstream was recently sent.
+    duration new_object{};    ///< Of other requests.
+};
+
 /// Data of a finished request for its log line.
 struct request_summary
 {
@@ -143,6 +151,7 @@
 
     std::size_t requests_under_way() const { return requests_.size(); }
     forwarding_counters const& counters() const { return counters_; }
+    std::vector<service_times> median_service_times() const;
     /// The request that finished last.
     request_summary const& last_finished() const { return last_finished_; }
     bool has_document() const { return routes_ != nullptr; }
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -435,6 +435,15 @@
     write_metric("upstream_answers_dropped_for_memory_total",
                  connections.answers_dropped_for_memory);
     write_metric("caller_connections", caller_server_.open_connections());
+    for (service_times const& each : engine_.median_service_times()) {
+        auto const write_median = [&](std::string_view object, duration median) {
+            write_metric(fmt::format("service_time_us{{service=\"{}\",object=\"{}\"}}",
+                                     each.service.get(), object),
+                         static_cast<std::uint64_t>(std::max(median, duration::zero()).count()));
+        };
+        write_median("recent", each.recent_object);
+        write_median("new", each.new_object);
+    }
     auto const write_quantiles = [&](std::string_view name, latency_histogram const& histogram) {
         for (double const quantile : {0.5, 0.9, 0.99}) {
             fmt::format_to(std::back_inserter(out), "burdockstep_{}{{quantile=\"{}\"}} {}\n", name,
