--- a/services/burdockstep_gateway/discovery/discovery_task.cpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.cpp
@@ -7,6 +7,14 @@
 
 namespace burdockstep::gateway {
 
+namespace {
+
+/// By then most entries of a new deployment are in the list, and the live ones of an old one have
+/// sent heartbeats.
+constexpr duration startup_duration = std::chrono::milliseconds(1'800);
+
+} // namespace
+
 discovery_task::discovery_task(gateway_context& context, discovery_store& store_client)
     : context_(context),
       store_monitor_(context, [this] { registrations_reader_.note_store_returned(); }),
@@ -18,7 +26,7 @@
                                  [this](std::vector<wire::registry_update_message> update_pieces) {
                                      broadcast_updates(std::move(update_pieces));
                                  }}),
-      entries_reader_(context, store_client, store_monitor_)
+      entries_reader_(context, store_client, store_monitor_), startup_timer_(context.loop)
 {}
 
 result<void> discovery_task::try_start()
@@ -26,10 +34,16 @@
     directives_reader_.read_all();
     registrations_reader_.start();
     entries_reader_.start();
-    update_long_polling();
+    startup_timer_.start_once(startup_duration, [this] { end_startup(); });
     return {};
 }
 
+void discovery_task::end_startup()
+{
+    startup_is_over_ = true;
+    set_is_registry_reader(is_chosen_reader_);
+}
+
 void discovery_task::update_evacuations(std::set<place_name> const& evacuated)
 {
     duration cold_start_time{};
@@ -111,7 +125,9 @@
         registrations_reader_.set_entries(static_cast<std::size_t>(
             std::count_if(members->members.begin(), members->members.end(),
                           [](member_view const& each) { return each.is_serving(); })));
-        set_is_registry_reader(is_registry_reader(context_.settings.instance, members->members));
+        is_chosen_reader_ = is_registry_reader(context_.settings.instance, members->members);
+        if (startup_is_over_)
+            set_is_registry_reader(is_chosen_reader_);
     }
     else if (auto const* const update = std::get_if<registry_update_received>(&new_event)) {
         handle_update(update->update);
--- a/services/burdockstep_gateway/discovery/discovery_task.hpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.hpp
@@ -30,6 +30,7 @@
     void handle_update(wire::registry_update_message const& update);
     void broadcast_updates(std::vector<wire::registry_update_message> update_pieces);
     void broadcast_directives_version();
+    void end_startup();
     void set_is_registry_reader(bool is_reader);
     void set_receives_updates(bool are_received);
     void update_long_polling();
@@ -41,8 +42,13 @@
     registrations_reader registrations_reader_;
     entries_reader entries_reader_;
     registry_update_assembler update_assembler_;
-    bool is_registry_reader_ = true;
-    bool receives_updates_ = false;
+    /// Ends the time in which this entry doesn't yet know the others, so that it can't tell who
+    /// reads the store for all.
+    timer startup_timer_;
+    bool startup_is_over_ = false;
+    bool is_chosen_reader_ = false; ///< Takes effect when the startup is over.
+    bool is_registry_reader_ = false;
+    bool receives_updates_ = true; ///< Assumed until an update is overdue.
     std::uint64_t updates_received_ = 0;
 };
 
--- a/services/burdockstep_gateway/discovery/entries_reader.cpp
+++ b/services/burdockstep_gateway/discovery/entries_reader.cpp
@@ -13,7 +13,7 @@
 constexpr duration max_first_read_delay = std::chrono::milliseconds(200);
 /// In a new deployment all entries start together. The list is polled again when most records have
 /// been written.
-constexpr duration second_read_delay = std::chrono::milliseconds(2'500);
+constexpr duration second_read_delay = std::chrono::milliseconds(1'200);
 /// A new entry is found by callers a little later if the list is polled less often.
 constexpr growing_pause_options poll_pause_options{.first = std::chrono::milliseconds(250),
                                                    .longest = std::chrono::milliseconds(2'000)};
--- a/services/burdockstep_gateway/discovery/registrations_reader.cpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.cpp
@@ -6,6 +6,13 @@
 
 namespace burdockstep::gateway {
 
+namespace {
+
+/// After a start the readers begin to send updates once they know the other entries.
+constexpr duration first_update_delay = std::chrono::milliseconds(2'000);
+
+} // namespace
+
 registrations_reader::registrations_reader(gateway_context& context, discovery_store& store_client,
                                            store_monitor& monitor, reader_callbacks callbacks)
     : context_(context), store_client_(store_client), store_monitor_(monitor),
@@ -18,7 +25,8 @@
     duration const drain_limit = context_.settings.drain_limit;
     if (is_registry_reader_)
         return registry_reader_interval(drain_limit);
-    return registry_update_timeout(drain_limit, entries_, context_.random);
+    duration const timeout = registry_update_timeout(drain_limit, entries_, context_.random);
+    return has_received_update_ ? timeout : first_update_delay + timeout;
 }
 
 void registrations_reader::schedule_read(duration delay)
@@ -32,6 +40,13 @@
     });
 }
 
+void registrations_reader::set_is_registry_reader(bool is_reader)
+{
+    is_registry_reader_ = is_reader;
+    if (is_reader)
+        read_now();
+}
+
 void registrations_reader::read_now()
 {
     read_timer_.stop();
@@ -122,6 +137,7 @@
         return false;
     }
     stands_in_for_readers_ = false;
+    has_received_update_ = true;
     // An update without changes confirms that the registry is unchanged up to its version.
     version_ = update.version;
     registry_.apply_changes(update.changes, context_.clock.now());
--- a/services/burdockstep_gateway/discovery/registrations_reader.hpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.hpp
@@ -31,8 +31,8 @@
 
     /// Starts the first read, which reads the whole registry.
     void start() { start_read(); }
-    /// Sets whether this entry reads the registry on behalf of all.
-    void set_is_registry_reader(bool is_reader) { is_registry_reader_ = is_reader; }
+    /// Sets whether this entry reads the registry on behalf of all. A new reader reads immediately.
+    void set_is_registry_reader(bool is_reader);
     /// Sets the number of live entries, including this one.
     void set_entries(std::size_t entries) { entries_ = entries; }
     /// Reads immediately, because the known state may be out of date.
@@ -68,7 +68,8 @@
     timer read_timer_;
     store_version version_;
     std::uint64_t published_changes_ = 0;
-    bool is_registry_reader_ = true;
+    bool is_registry_reader_ = false;
+    bool has_received_update_ = false;
     bool has_full_registry_ = false;
     bool history_truncated_ = false; ///< The next full read is announced by its differences.
     bool read_pending_ = false;
