--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -242,6 +242,8 @@
     /// for those that the hash of the request's object selects.
     double affinity_cost_ms(pending_request const& request, upstream_tracker const& tracker) const;
     pool_summary summarize_pool(pending_request const& request, time_point now) const;
+
+    // Objects that other regions serve (forwarding_spill.cpp).
     /// True if the request's object is among those that are served in other regions.
     bool is_spilled(pending_request const& request) const;
     /// The free fraction of a service's slots in this region, or in the other regions; 0 if there
--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -2,7 +2,8 @@
 #include "libraries/forwarding/forwarding_engine.hpp"
 
 #include "libraries/core/digest.hpp"
-#include "libraries/steering/balanced_spill_fraction.hpp"
+#include "libraries/dispatch/affinity_hash.hpp"
+#include "libraries/forwarding/slot_totals.hpp"
 
 #include <algorithm>
 
@@ -24,9 +25,6 @@
 /// If a smaller fraction of this region's slots is free, requests go only to upstreams that were
 /// recently sent their object or are preferred for it.
 constexpr double scarce_slot_fraction = 0.6;
-/// Hash seed for the order in which objects are spilled. It makes this order independent of the
-/// assignment of objects to upstreams.
-constexpr std::uint32_t spill_hash_seed = 1;
 constexpr double same_place_round_trip_ms = 0.5;
 /// Until a service time has been measured, it is assumed to be this fraction of the latency
 /// objective.
@@ -68,39 +66,6 @@
     }
 };
 
-/// Total and free slots of several upstreams.
-struct slot_totals
-{
-    unsigned slots = 0;
-    unsigned free = 0;
-
-    void add(upstream_tracker const& tracker, reported_slot_usage const& peer_counts,
-             time_point now)
-    {
-        slots += tracker.slots();
-        free += tracker.slots() - std::min(tracker.slots(), tracker.occupancy(peer_counts, now));
-    }
-    double free_slot_fraction() const
-    {
-        return slots > 0 ? static_cast<double>(free) / static_cast<double>(slots) : 0.0;
-    }
-};
-
-/// The key by which entries name a service in their slot reports.
-std::uint32_t service_key(service_name const& service)
-{
-    return static_cast<std::uint32_t>(hash_of(service.get()));
-}
-
-/// Hashes an object together with a key to a number from 0 to 1. With upstreams as keys, this is
-/// rendezvous hashing.
-double affinity_hash(std::uint64_t object, upstream_key key)
-{
-    std::uint64_t const hash_bits =
-        hash_of(std::string_view(reinterpret_cast<char const*>(&object), sizeof object), key.get());
-    return static_cast<double>(hash_bits >> 11U) * 0x1.0p-53;
-}
-
 } // namespace
 
 duration forwarding_engine::expected_round_trip(upstream_tracker const& tracker) const
@@ -279,94 +244,6 @@
             .free_fraction_in_region = region_slots.free_slot_fraction()};
 }
 
-bool forwarding_engine::is_spilled(pending_request const& request) const
-{
-    // Downloads stay in the region, because they would saturate the links between regions.
-    if (request.matched_route->kind == request_kind::download || request.arrival.object == 0)
-        return false;
-    double const hash_position =
-        affinity_hash(request.arrival.object, upstream_key(spill_hash_seed));
-    return pools_.at(request.service).spill.leaves(hash_position);
-}
-
-double forwarding_engine::free_slot_fraction(service_name const& service, bool in_region,
-                                             time_point now) const
-{
-    slot_totals sum;
-    for (upstream_tracker const* const each : pools_.at(service).upstreams) {
-        if (each->is_eligible(now) &&
-            (each->proximity() != upstream_proximity::other_region) == in_region)
-            sum.add(*each, peer_counts_, now);
-    }
-    return sum.free_slot_fraction();
-}
-
-double forwarding_engine::planned_spill_fraction(service_pool const& pool, time_point now) const
-{
-    region_capacity weight{.region_entries = static_cast<double>(own_region_entries_.size()),
-                           .total_entries = static_cast<double>(entries_.size())};
-    for (upstream_tracker const* const each : pool.upstreams) {
-        if (!each->is_eligible(now))
-            continue;
-        weight.total_slots += each->slots();
-        weight.region_slots +=
-            each->proximity() == upstream_proximity::other_region ? 0 : each->slots();
-    }
-    return balanced_spill_fraction(weight);
-}
-
-void forwarding_engine::begin_spill(service_pool& pool, time_point now)
-{
-    if (pool.spill.has_begun() || pool.upstreams.empty())
-        return;
-    if (!first_arrival_)
-        first_arrival_ = now;
-    if (entries_.size() <= 1) {
-        // The region's share can't be computed before the other entries are known.
-        if (now - *first_arrival_ > options_.entry_discovery_timeout)
-            pool.spill.begin(0, now);
-        return;
-    }
-    bool const is_first = std::none_of(pools_.begin(), pools_.end(), [](auto const& each) {
-        return each.second.spill.has_begun();
-    });
-    pool.spill.begin(planned_spill_fraction(pool, now), now);
-    if (is_first)
-        region_share_.begin(pool.spill.part(), now);
-}
-
-std::vector<wire::service_spill_fraction> forwarding_engine::spill_fractions() const
-{
-    std::vector<wire::service_spill_fraction> spilled_fractions;
-    for (auto const& [service, pool] : pools_) {
-        if (!pool.spill.has_begun())
-            continue;
-        spilled_fractions.push_back(
-            {.service = service_key(service),
-             .thousandths = static_cast<std::uint16_t>(pool.spill.part() * 1'000)});
-    }
-    return spilled_fractions;
-}
-
-void forwarding_engine::adopt_spill_fractions(wire::slot_report const& report, time_point now)
-{
-    bool const may_adopt = std::any_of(pools_.begin(), pools_.end(), [&](auto const& each) {
-        return each.second.spill.may_adopt(now);
-    });
-    if (!may_adopt || report.spilled_fractions.get().empty())
-        return;
-    auto const sender = entries_.find(instance_name(report.instance.get()));
-    if (sender == entries_.end() || sender->second != options_.region)
-        return;
-    for (wire::service_spill_fraction const& each : report.spilled_fractions.get()) {
-        for (auto& [service, pool] : pools_) {
-            double const part = each.thousandths / 1'000.0;
-            if (service_key(service) == each.service && pool.spill.adopt(part, now))
-                region_share_.begin(part, now);
-        }
-    }
-}
-
 std::optional<forwarding_engine::placement_choice>
 forwarding_engine::choose_upstream(pending_request const& request, time_point now)
 {
--- a/tests/unit/endless_answer_test.cpp
+++ b/tests/unit/endless_answer_test.cpp
@@ -57,11 +57,17 @@
                           end = result.end;
                           loop.stop();
                       });
+        run_loop_for_three_seconds();
+        client.reset();
+        return end;
+    }
+
+    /// Runs the loop until it is stopped, at most three seconds.
+    void run_loop_for_three_seconds()
+    {
         timer time_limit(loop);
         time_limit.start_once(std::chrono::seconds(3), [&] { loop.stop(); });
         loop.run();
-        client.reset();
-        return end;
     }
 };
 
@@ -148,9 +154,7 @@
                       end = result.end;
                       loop.stop();
                   });
-    timer time_limit(loop);
-    time_limit.start_once(std::chrono::seconds(3), [&] { loop.stop(); });
-    loop.run();
+    run_loop_for_three_seconds();
     client.reset();
     CHECK(end == http1::call_end::broken);
 }
@@ -172,9 +176,7 @@
         fast_end = result.end;
         loop.stop();
     });
-    timer time_limit(loop);
-    time_limit.start_once(std::chrono::seconds(3), [&] { loop.stop(); });
-    loop.run();
+    run_loop_for_three_seconds();
     LONGS_EQUAL(1, client->counters().answers_dropped_for_memory);
     client.reset();
     CHECK(fast_end == http1::call_end::broken);
