discovery: readers are chosen among running entries, with a configuration or without

Test: registry_update_message, two_readers_are_chosen_before_any_configuration_is_ known, red before (30 of 30 entries), green after.

--- a/libraries/discovery/registry_update.cpp
+++ b/libraries/discovery/registry_update.cpp
@@ -81,7 +81,7 @@
 {
     std::vector<member_view const*> live_members;
     for (member_view const& each : members) {
-        if (each.listed.instance == self || each.is_serving())
+        if (each.listed.instance == self || each.is_running())
             live_members.push_back(&each);
     }
     std::sort(live_members.begin(), live_members.end(),
--- a/libraries/membership/member_directory.hpp
+++ b/libraries/membership/member_directory.hpp
@@ -67,13 +67,13 @@
     configuration_version configuration;
     time_point last_heard;
 
-    /// Returns true when look-ups may return it: it is running, isn't stopping, and has a
-    /// configuration.
-    bool is_serving() const
+    /// Returns true when it has been heard lately and isn't stopping.
+    bool is_running() const
     {
-        return state == wire::member_state::serving && !listed.leaving && incarnation.get() != 0 &&
-               configuration.get() != 0;
+        return state == wire::member_state::serving && !listed.leaving && incarnation.get() != 0;
     }
+    /// Returns true when look-ups may return it: it is running and has a configuration.
+    bool is_serving() const { return is_running() && configuration.get() != 0; }
     /// Returns true when a request that carries its ticket can still be forwarded to it.
     bool is_reachable() const
     {
--- a/services/burdockstep_gateway/discovery/discovery_task.cpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.cpp
@@ -124,7 +124,7 @@
     else if (auto const* const members = std::get_if<members_changed>(&new_event)) {
         registrations_reader_.set_entries(static_cast<std::size_t>(
             std::count_if(members->members.begin(), members->members.end(),
-                          [](member_view const& each) { return each.is_serving(); })));
+                          [](member_view const& each) { return each.is_running(); })));
         is_chosen_reader_ = is_registry_reader(context_.settings.instance, members->members);
         if (startup_is_over_)
             set_is_registry_reader(is_chosen_reader_);
--- a/tests/unit/endless_answer_test.cpp
+++ b/tests/unit/endless_answer_test.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr std::size_t bytes_per_kib = 1'024;
 constexpr char const* head_with_own_id = "HTTP/1.1 200 OK\r\nX-Id: mine\r\n";
 
 /// A large part, sent again and again, keeps the number of system calls low.
@@ -34,7 +35,8 @@
     {
         client = std::make_unique<http1::client>(
             loop, clock,
-            http1::client_limits{.max_body_bytes = 256 * 1024, .max_call_bytes = 1024 * 1024});
+            http1::client_limits{.max_body_bytes = 256 * bytes_per_kib,
+                                 .max_call_bytes = 1'024 * bytes_per_kib});
     }
 
     void teardown() override
@@ -162,7 +164,7 @@
 TEST(endless_answer, bodies_of_all_calls_together_are_bounded_by_ending_the_largest)
 {
     client = std::make_unique<http1::client>(
-        loop, clock, http1::client_limits{.max_buffered_bytes = 512 * 1024});
+        loop, clock, http1::client_limits{.max_buffered_bytes = 512 * bytes_per_kib});
     std::string const start = std::string(head_with_own_id) + "\r\n";
     endless_server const fast(start, repeated("b", 4'096));
     endless_server const slow(start, "b", ms(5));
--- a/tests/unit/registry_update_test.cpp
+++ b/tests/unit/registry_update_test.cpp
@@ -54,6 +54,19 @@
     LONGS_EQUAL(2, count);
 }
 
+TEST(registry_update_message, two_readers_are_chosen_before_any_configuration_is_known)
+{
+    std::vector<member_view> members;
+    for (unsigned i = 0; i < 30; ++i) {
+        members.push_back(live_member(i, i % 2 == 0 ? "p" : "q"));
+        members.back().configuration = configuration_version();
+    }
+    unsigned count = 0;
+    for (member_view const& each : members)
+        count += is_registry_reader(each.listed.instance, members) ? 1 : 0;
+    LONGS_EQUAL(2, count);
+}
+
 TEST(registry_update_message, entry_without_peers_reads_the_registry)
 {
     CHECK(is_registry_reader(instance_name("e1"), {live_member(1, "p")}));
