http1, forwarding: faults found in reading this change

A cancelled call whose connection still read bytes before it was destroyed added them to the memory of all answers and never took them off, so that after many cancelled calls sound answers would have been dropped: a cancelled connection now ends its call. Each answer of a leaving upstream looked through all waiting requests: only the first one does.

--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -219,13 +219,14 @@
     mark_count_changed(found->second);
 }
 
-void forwarding_engine::mark_leaving(upstream_tracker& tracker, commands& out)
+bool forwarding_engine::mark_leaving(upstream_tracker& tracker, commands& out)
 {
     if (!tracker.mark_leaving())
-        return;
+        return false;
     ++counters_.leaving_notices;
     out.emplace_back(announce_upstream_leaving{.upstream = tracker.known().registration.name,
                                                .incarnation = tracker.incarnation()});
+    return true;
 }
 
 forwarding_engine::commands forwarding_engine::handle_notice(upstream_name const& upstream,
@@ -237,13 +238,13 @@
     auto const found = trackers_.find(upstream);
     if (notice.is_empty() || found == trackers_.end() || found->second.incarnation() != incarnation)
         return out;
-    if (notice.leaving)
-        mark_leaving(found->second, out);
+    bool const leaves_now = notice.leaving && mark_leaving(found->second, out);
     if (notice.retry_after) {
         ++counters_.pause_notices;
         found->second.record_requested_pause(*notice.retry_after, now);
     }
-    refuse_hopeless_waiting(found->second.known().registration.service, now, out);
+    if (leaves_now || notice.retry_after)
+        refuse_hopeless_waiting(found->second.known().registration.service, now, out);
     return out;
 }
 
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -281,7 +281,8 @@
     /// Counts the end of the request's send at its upstream.
     void record_send_end(pending_request const& request, send_end_report const& report,
                          time_point now);
-    void mark_leaving(upstream_tracker& tracker, commands& out);
+    /// Returns true if the upstream wasn't known to be leaving.
+    bool mark_leaving(upstream_tracker& tracker, commands& out);
     /// When an upstream that may run the request accepts requests again, as far as pauses that
     /// upstreams asked for are known; nothing if no upstream may run it at all. Ejected upstreams
     /// count as accepting, because a probe may return them at any time.
--- a/libraries/http1/client.cpp
+++ b/libraries/http1/client.cpp
@@ -157,6 +157,7 @@
     if (found == state_->calls_.end())
         return;
     state_->buffered_bytes_ -= found->second.connection->buffered_bytes();
+    found->second.connection->abandon();
     state_->destroy_from_loop(std::move(found->second.connection));
     state_->calls_.erase(found);
 }
--- a/libraries/http1/client_connection.cpp
+++ b/libraries/http1/client_connection.cpp
@@ -186,6 +186,15 @@
         end_call(connected_ ? call_end::broken : call_end::not_connected);
 }
 
+void client_connection::abandon()
+{
+    options_.reset();
+    on_any_head_ = nullptr;
+    timeout_timer_.stop();
+    call_timer_.stop();
+    reader_.stop();
+}
+
 void client_connection::end_call(call_end end)
 {
     timeout_timer_.stop();
--- a/libraries/http1/client_connection.hpp
+++ b/libraries/http1/client_connection.hpp
@@ -33,6 +33,8 @@
     void start(call_number call, call_options options);
     /// Ends the current call before its answer is complete. Does nothing if there is none.
     void break_call();
+    /// Ends the current call without reporting it. The connection must not be used afterwards.
+    void abandon();
     /// Size of the current call's incomplete body.
     std::size_t buffered_bytes() const { return result_.body.size(); }
     /// Prevents the connection from being reused after its current call.
--- a/meta/prove_red.sh
+++ b/meta/prove_red.sh
@@ -86,7 +86,7 @@
     "incarnation_id const incarnation(simulation_.random_.next());" \
     "incarnation_id const incarnation(1 + simulation_.random_.below(64));"
 break_one "gateway: a leaving upstream's own word is ignored" \
-    libraries/forwarding/forwarding_endings.cpp "if (notice.leaving)" "if (false)"
+    libraries/forwarding/forwarding_endings.cpp "notice.leaving && mark_leaving" "false && mark_leaving"
 break_one "gateway: an older state of the registry undoes a leaving mark" \
     libraries/forwarding/upstream_tracker.cpp \
     "known_.draining = known_.draining || was_leaving;" "(void)was_leaving;"
--- a/tests/unit/endless_answer_test.cpp
+++ b/tests/unit/endless_answer_test.cpp
@@ -184,3 +184,31 @@
     CHECK(fast_end == http1::call_end::broken);
     CHECK(!slow_ended);
 }
+
+TEST(endless_answer, cancelled_calls_take_no_part_of_the_memory)
+{
+    client = std::make_unique<http1::client>(
+        loop, clock, http1::client_limits{.max_buffered_bytes = 512 * bytes_per_kib});
+    std::string const start = std::string(head_with_own_id) + "\r\n";
+    for (int i = 0; i < 4; ++i) {
+        endless_server const server(start, repeated("b", 4'096));
+        http1::call_number const call =
+            client->start({.to = server.at(), .headers = {}, .body = {}, .answer_id = {}},
+                          [](http1::call_result const&) {});
+        timer cancellation(loop);
+        cancellation.start_once(ms(1), [&] {
+            client->cancel(call);
+            loop.stop();
+        });
+        run_loop_for_three_seconds();
+    }
+    endless_server const server(start, "b", ms(5));
+    bool ended = false;
+    client->start({.to = server.at(), .headers = {}, .body = {}, .answer_id = {}},
+                  [&](http1::call_result const&) { ended = true; });
+    timer time_limit(loop);
+    time_limit.start_once(ms(200), [&] { loop.stop(); });
+    loop.run();
+    client.reset();
+    CHECK(!ended);
+}
