--- a/meta/prove_red.sh
+++ b/meta/prove_red.sh
@@ -91,16 +91,18 @@
     libraries/forwarding/upstream_tracker.cpp \
     "known_.draining = known_.draining || was_leaving;" "(void)was_leaving;"
 break_one "gateway: a notice of an earlier incarnation counts" \
-    libraries/forwarding/forwarding_endings.cpp "found->second.incarnation() != incarnation" "false"
+    libraries/forwarding/forwarding_endings.cpp "found->second.incarnation() != incarnation" \
+    "(false && found->second.incarnation() != incarnation)"
 break_one "gateway: a leaving mark ends with its registration" \
     libraries/discovery/upstream_registry.cpp \
     "known.draining = has_leaving_mark(registration);" "known.draining = false;"
 break_one "gateway: a report of an earlier incarnation marks the present one" \
-    libraries/discovery/upstream_registry.cpp "if (!is_known_incarnation)" "if (false)"
+    libraries/discovery/upstream_registry.cpp "if (!is_known_incarnation)" \
+    "if (false && !is_known_incarnation)"
 break_one "gateway: a later, shorter pause ends a longer one" \
     libraries/forwarding/upstream_tracker.cpp "std::max(requested_pause_end_, now + pause)" "now + pause"
 break_one "gateway: a paused upstream gets requests" libraries/forwarding/upstream_tracker.hpp \
-    "known_.is_usable() && !ejected_ && now >= requested_pause_end_" "known_.is_usable() && !ejected_"
+    "now >= requested_pause_end_" "(now >= requested_pause_end_ || true)"
 break_one "gateway: requests wait although all upstreams are paused for longer" \
     libraries/forwarding/forwarding_engine.cpp \
     "if (accepted_from && *accepted_from > now + *hold)" "if (false)"
