meta: two more mutations that build under -Werror

An unused name stopped the build of two of prove_red.sh's new mutations, so they showed nothing; they keep the name now.

--- a/meta/prove_red.sh
+++ b/meta/prove_red.sh
@@ -107,7 +107,7 @@
     libraries/forwarding/forwarding_engine.cpp \
     "if (accepted_from && *accepted_from > now + *hold)" "if (false)"
 break_one "gateway: an unproved 503 is delivered" libraries/forwarding/forwarding_endings.cpp \
-    "if (promises_not_run(status))" "if (false)"
+    "if (promises_not_run(status))" "if (promises_not_run(status) && false)"
 break_one "gateway: any number of slots is believed" platform/operator_documents.cpp \
     "*slots > max_slots" "false"
 break_one "gateway: an unsigned 64-bit integer is cast to a signed one" platform/json_access.cpp \
@@ -119,7 +119,7 @@
         return std::nullopt;"
 break_one "gateway: an update of the registry is split by count only" \
     libraries/discovery/registry_update.cpp "pieces.back().changes.is_full() || is_oversized" \
-    "pieces.back().changes.is_full()"
+    "pieces.back().changes.is_full() || (is_oversized && false)"
 break_one "gateway: the bytes of a call aren't limited" libraries/http1/client_connection.cpp \
     "if (call_bytes_ > limits_.max_call_bytes)" "if (false)"
 break_one "gateway: the time of a call isn't limited" libraries/http1/client_connection.cpp \
