wire: bytes that are no bool or known state are rejected

A bool or state from a datagram was copied as it came, which is undefined for a bool and let unknown states into the directory of entries. They are sent as one checked byte now; the encoding is the same.

--- a/libraries/wire/bounded.hpp
+++ b/libraries/wire/bounded.hpp
@@ -95,4 +95,34 @@
     std::vector<Element> elements_;
 };
 
+/// A reference to a bool or an enumeration that is sent as one byte. Decoding throws when the byte
+/// is over `highest`: such a value must not get into a bool or a switch.
+template <class Value, std::uint8_t highest>
+class checked_byte
+{
+public:
+    explicit checked_byte(Value& value) : value_(value) {}
+
+    template <class Archive>
+    void save(Archive& archive) const
+    {
+        archive(static_cast<std::uint8_t>(value_));
+    }
+
+    template <class Archive>
+    void load(Archive& archive)
+    {
+        std::uint8_t byte = 0;
+        archive(byte);
+        if (byte > highest)
+            throw cereal::Exception("value out of range");
+        value_ = static_cast<Value>(byte);
+    }
+
+private:
+    Value& value_;
+};
+
+using checked_bool = checked_byte<bool, 1>;
+
 } // namespace burdockstep::wire
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -27,6 +27,9 @@
     lost = 2      ///< No heartbeat has arrived within the suspicion timeout.
 };
 
+using checked_member_state =
+    checked_byte<member_state, static_cast<std::uint8_t>(member_state::lost)>;
+
 /// State of one entry. Of two records of one incarnation, that with the higher `heartbeat_number`
 /// is newer.
 struct member_record
@@ -43,7 +46,8 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(instance, incarnation, started_ms, epoch, heartbeat_number, state, configuration);
+        archive(instance, incarnation, started_ms, epoch, heartbeat_number,
+                checked_member_state(state), configuration);
     }
 
     friend bool operator==(member_record const&, member_record const&) = default;
@@ -135,7 +139,7 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(instance, place, region, callers, operators, peers, leaving);
+        archive(instance, place, region, callers, operators, peers, checked_bool(leaving));
     }
 
     friend bool operator==(listed_instance const&, listed_instance const&) = default;
@@ -217,7 +221,8 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(instance, incarnation, number, is_full_report, counts, spilled_fractions);
+        archive(instance, incarnation, number, checked_bool(is_full_report), counts,
+                spilled_fractions);
     }
 
     friend bool operator==(slot_report const&, slot_report const&) = default;
@@ -231,6 +236,9 @@
     gone = 2 ///< The registration has been removed or can't be parsed.
 };
 
+using checked_registration_state =
+    checked_byte<registration_state, static_cast<std::uint8_t>(registration_state::gone)>;
+
 /// One changed registration, as sent by an entry that read the registry.
 struct registration_change_record
 {
@@ -247,7 +255,8 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(name, service, place, at, slots, state, cold_left_ms, heartbeat, started_ms);
+        archive(name, service, place, at, slots, checked_registration_state(state), cold_left_ms,
+                heartbeat, started_ms);
     }
 
     friend bool operator==(registration_change_record const&,
@@ -270,8 +279,8 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(after, version, directives_version, entries_version, complete, piece_index, pieces,
-                changes);
+        archive(after, version, directives_version, entries_version, checked_bool(complete),
+                piece_index, pieces, changes);
     }
 
     friend bool operator==(registry_update_message const&,
@@ -291,7 +300,7 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(after, version, complete, entries);
+        archive(after, version, checked_bool(complete), entries);
     }
 
     friend bool operator==(entries_update_message const&, entries_update_message const&) = default;
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -87,6 +87,23 @@
         CHECK(is_rejected_as_malformed(bytes));
 }
 
+TEST(wire, bytes_that_are_no_bool_or_known_state_are_rejected)
+{
+    wire::entries_update_message update{.after = 1, .version = 2, .entries = {}};
+    update.entries.add({.instance = wire::name_text("armor-2")});
+    // The last byte tells whether the instance is leaving.
+    std::string bool_out_of_range = wire::encode(update);
+    bool_out_of_range.back() = 101;
+    CHECK(is_rejected_as_malformed(bool_out_of_range));
+
+    wire::heartbeat heartbeat_message;
+    heartbeat_message.sender.state = static_cast<wire::member_state>(3);
+    CHECK(is_rejected_as_malformed(wire::encode(heartbeat_message)));
+    wire::registry_update_message registry_update{.after = 1, .version = 2, .changes = {}};
+    registry_update.changes.add({.state = static_cast<wire::registration_state>(3)});
+    CHECK(is_rejected_as_malformed(wire::encode(registry_update)));
+}
+
 TEST(wire, every_truncated_message_is_rejected)
 {
     std::string const valid_bytes = wire::encode(sample_heartbeat());
