gateway: callers' connections tell how they ended, and what was lost with them

Hypotheses to be told apart: 1. this entry's own closes (idle limit, planned stop) cross a request or drop one that has already arrived; 2. the end of a planned stop cuts requests that are at an upstream; 3. the caller's own end of a connection with several requests under way.

Added: the reason of each connection's end (counted, and logged where a request was unanswered), a line for each request left unanswered with its stage, and a count and a line for bytes that are read after this entry has ended the connection: these were dropped in silence. The metrics are also logged at the end of a stop. No decision changes.

--- a/libraries/http1/server.cpp
+++ b/libraries/http1/server.cpp
@@ -2,6 +2,8 @@
 
 #include "libraries/http1/server_connection.hpp"
 
+#include "libraries/core/log.hpp"
+
 #include <fmt/format.h>
 
 #include <unordered_map>
@@ -17,13 +19,34 @@
 
 } // namespace
 
+char const* name_of(connection_end end)
+{
+    switch (end) {
+    case connection_end::closed_by_caller:
+        return "closed-by-caller";
+    case connection_end::reset:
+        return "reset";
+    case connection_end::idle:
+        return "idle";
+    case connection_end::answered:
+        return "answered";
+    case connection_end::unreadable:
+        return "unreadable";
+    case connection_end::stopping:
+        return "stopping";
+    case connection_end::aborted:
+        return "aborted";
+    }
+    return "unknown";
+}
+
 std::string_view reason_phrase(int status)
 {
     char const* const phrase = http_status_str(static_cast<http_status>(status));
     return phrase;
 }
 
-struct server::state final : server_connection::owner
+struct server::state final : server_connection::owner, std::enable_shared_from_this<server::state>
 {
     state(event_loop& loop, clock_source const& clock, server_limits limits)
         : loop_(loop), clock_(clock), limits_(limits), time_limit_timer_(loop)
@@ -31,8 +54,14 @@
 
     void on_request(std::shared_ptr<exchange> each) override { handler_(std::move(each)); }
 
-    void on_connection_closed(server_connection& connection) override
+    void on_connection_closed(server_connection& connection, connection_end end,
+                              std::size_t unanswered_requests) override
     {
+        ++counters_.ends[static_cast<std::size_t>(end)];
+        counters_.unanswered[static_cast<std::size_t>(end)] += unanswered_requests;
+        if (unanswered_requests > 0)
+            log_.info("connection ended with requests unanswered",
+                      {field("end", name_of(end)), field("unanswered", unanswered_requests)});
         auto const found = connections_.find(&connection);
         if (found == connections_.end())
             return;
@@ -42,6 +71,21 @@
         connections_.erase(found);
     }
 
+    void count_read_after_end(connection_end end, std::size_t bytes)
+    {
+        ++counters_.reads_after_end[static_cast<std::size_t>(end)];
+        log_.info("bytes arrived after the connection had been ended",
+                  {field("end", name_of(end)), field("bytes", bytes)});
+    }
+
+    std::function<void(std::size_t)> reader_after_end(connection_end end) override
+    {
+        return [end, weak_state = weak_from_this()](std::size_t bytes) {
+            if (auto const server_state = weak_state.lock())
+                server_state->count_read_after_end(end, bytes);
+        };
+    }
+
     void accept()
     {
         auto connection = std::make_unique<server_connection>(loop_, clock_, limits_, *this);
@@ -49,7 +93,7 @@
             return;
         if (closing_after_answers_)
             connection->close_after_answers();
-        ++accepted_;
+        ++counters_.accepted;
         connections_.emplace(connection.get(), std::move(connection));
     }
 
@@ -74,14 +118,18 @@
                  [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
     }
 
+    /// Limit of repeated log lines per second, high enough to show most lost requests one by one.
+    static constexpr unsigned log_lines_per_second = 100;
+
     event_loop& loop_;
     clock_source const& clock_;
     server_limits limits_;
+    logger log_{"http-server", log_lines_per_second};
     timer time_limit_timer_;
     request_handler handler_;
     uv_tcp_t* listening_handle_ = nullptr;
     std::unordered_map<server_connection*, std::unique_ptr<server_connection>> connections_;
-    std::uint64_t accepted_ = 0;
+    server_counters counters_;
     bool closing_after_answers_ = false;
 };
 
@@ -152,9 +200,9 @@
     return state_->connections_.size();
 }
 
-std::uint64_t server::accepted() const
+server_counters const& server::counters() const
 {
-    return state_->accepted_;
+    return state_->counters_;
 }
 
 } // namespace burdockstep::http1
--- a/libraries/http1/server.hpp
+++ b/libraries/http1/server.hpp
@@ -7,6 +7,8 @@
 #include "libraries/http1/message_reader.hpp"
 #include "libraries/net/event_loop.hpp"
 
+#include <array>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -41,6 +43,32 @@
     std::string body;
 };
 
+/// Why a caller's connection ended.
+enum class connection_end
+{
+    closed_by_caller, ///< The caller closed its side.
+    reset,            ///< The caller or the network reset it, or it timed out.
+    idle,             ///< It carried no request for longer than the idle timeout.
+    answered,         ///< After the last answer, as that answer's Connection header told.
+    unreadable,       ///< The caller sent something that is not an acceptable request.
+    stopping,         ///< This server stopped while no request was under way.
+    aborted           ///< This server gave it up.
+};
+
+constexpr std::size_t connection_end_count = static_cast<std::size_t>(connection_end::aborted) + 1;
+/// The name of a connection's end in logs and metrics, such as "closed-by-caller".
+char const* name_of(connection_end end);
+
+/// Totals since the start, for metrics.
+struct server_counters
+{
+    std::uint64_t accepted = 0;                                   ///< Connections accepted.
+    std::array<std::uint64_t, connection_end_count> ends{};       ///< Ended connections by reason.
+    std::array<std::uint64_t, connection_end_count> unanswered{}; ///< Their unanswered requests.
+    /// Reads that returned bytes after this server had ended the connection.
+    std::array<std::uint64_t, connection_end_count> reads_after_end{};
+};
+
 class server_connection;
 
 /// One request and its pending answer. It may outlive its connection.
@@ -58,7 +86,10 @@
     /// Closes the caller's connection without an answer to this request.
     void abort();
     /// Sets a handler that is called if the connection ends before `reply`.
-    void on_disconnect(std::function<void()> handler) { disconnect_handler_ = std::move(handler); }
+    void on_disconnect(std::function<void(connection_end)> handler)
+    {
+        disconnect_handler_ = std::move(handler);
+    }
     bool is_disconnected() const { return connection_ == nullptr; }
 
 private:
@@ -68,7 +99,7 @@
     server_connection* connection_;
     server_request request_;
     std::optional<server_answer> answer_;
-    std::function<void()> disconnect_handler_;
+    std::function<void(connection_end)> disconnect_handler_;
 };
 
 /// Listens on one address and passes each request to a handler.
@@ -91,8 +122,7 @@
     /// Accepts no further connections and closes those without a request under way.
     void stop_accepting();
     std::size_t open_connections() const;
-    /// Number of connections accepted since the start.
-    std::uint64_t accepted() const;
+    server_counters const& counters() const;
 
 private:
     friend class server_connection;
--- a/libraries/http1/server_connection.cpp
+++ b/libraries/http1/server_connection.cpp
@@ -21,6 +21,23 @@
     return status >= 200 && status != 204 && status != 304;
 }
 
+/// True if this server ends the connection and the caller is to receive all that was written.
+bool is_orderly(connection_end end)
+{
+    switch (end) {
+    case connection_end::idle:
+    case connection_end::answered:
+    case connection_end::unreadable:
+    case connection_end::stopping:
+        return true;
+    case connection_end::closed_by_caller:
+    case connection_end::reset:
+    case connection_end::aborted:
+        break;
+    }
+    return false;
+}
+
 } // namespace
 
 server_connection::server_connection(event_loop& loop, clock_source const& clock,
@@ -31,7 +48,7 @@
 
 server_connection::~server_connection()
 {
-    end_connection(false);
+    end_connection(connection_end::aborted);
 }
 
 bool server_connection::accept(uv_stream_t* listening_handle)
@@ -99,9 +116,10 @@
     reader_.stop();
 }
 
-void server_connection::on_stream_end(stream_end /*end*/)
+void server_connection::on_stream_end(stream_end end)
 {
-    end_connection(false);
+    end_connection(end == stream_end::closed ? connection_end::closed_by_caller
+                                             : connection_end::reset);
 }
 
 void server_connection::write_ready_answers()
@@ -117,13 +135,13 @@
         answered_exchange->connection_ = nullptr;
         last_activity_at_ = clock_.now();
         if (closes_connection)
-            end_connection(true);
+            end_connection(connection_end::answered);
     }
     if (connection_ended_ || error_status_ == 0 || !unanswered_exchanges_.empty())
         return;
     socket_.write(fmt::format("HTTP/1.1 {} {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
                               error_status_, reason_phrase(error_status_)));
-    end_connection(true);
+    end_connection(connection_end::unreadable);
 }
 
 void server_connection::write_answer(exchange& ready_exchange, bool closes_connection)
@@ -143,13 +161,13 @@
 
 void server_connection::abort()
 {
-    end_connection(false);
+    end_connection(connection_end::aborted);
 }
 
 void server_connection::close_if_idle()
 {
     if (unanswered_exchanges_.empty() && !reader_.is_inside_message())
-        end_connection(true);
+        end_connection(connection_end::stopping);
 }
 
 void server_connection::check_time_limits(time_point now)
@@ -166,24 +184,24 @@
         return;
     }
     if (unanswered_exchanges_.empty() && now - last_activity_at_ > limits_.idle_timeout)
-        end_connection(true);
+        end_connection(connection_end::idle);
 }
 
-void server_connection::end_connection(bool gracefully)
+void server_connection::end_connection(connection_end end)
 {
     if (std::exchange(connection_ended_, true))
         return;
-    if (gracefully)
-        socket_.close_gracefully();
+    if (is_orderly(end))
+        socket_.close_gracefully(owner_.reader_after_end(end));
     reader_.stop();
     auto const unanswered = std::exchange(unanswered_exchanges_, {});
     for (auto const& each : unanswered)
         each->connection_ = nullptr;
     for (auto const& each : unanswered) {
         if (each->disconnect_handler_ && !each->answer_)
-            std::exchange(each->disconnect_handler_, nullptr)();
+            std::exchange(each->disconnect_handler_, nullptr)(end);
     }
-    owner_.on_connection_closed(*this);
+    owner_.on_connection_closed(*this, end, unanswered.size());
 }
 
 void exchange::reply(server_answer answer)
--- a/libraries/http1/server_connection.hpp
+++ b/libraries/http1/server_connection.hpp
@@ -18,7 +18,11 @@
         virtual ~owner() = default;
         virtual void on_request(std::shared_ptr<exchange> each) = 0;
         /// Called when the connection has ended. The owner must destroy it later, from the loop.
-        virtual void on_connection_closed(server_connection& connection) = 0;
+        virtual void on_connection_closed(server_connection& connection, connection_end end,
+                                          std::size_t unanswered_requests) = 0;
+        /// Returns a handler of the sizes of the reads after this server has ended a connection. It
+        /// may outlive the owner.
+        virtual std::function<void(std::size_t)> reader_after_end(connection_end end) = 0;
     };
 
     server_connection(event_loop& loop, clock_source const& clock, server_limits const& limits,
@@ -47,7 +51,7 @@
 private:
     void write_answer(exchange& answered_exchange, bool closes_connection);
     void stop_reading_with_error(int status);
-    void end_connection(bool gracefully);
+    void end_connection(connection_end end);
 
     clock_source const& clock_;
     server_limits limits_;
--- a/libraries/http1/stream_socket.cpp
+++ b/libraries/http1/stream_socket.cpp
@@ -60,6 +60,7 @@
     stream_listener* listener = nullptr;
     duration unacknowledged_timeout{};
     uv_shutdown_t shutdown_request{};
+    std::function<void(std::size_t)> on_discarded;
     bool closing_gracefully = false;
     bool handle_is_closing = false;
 
@@ -114,6 +115,8 @@
                 // bytes resets the connection, and the peer could lose the last answer.
                 if (size < 0)
                     read_state->close();
+                else if (read_state->on_discarded)
+                    read_state->on_discarded(static_cast<std::size_t>(size));
                 return;
             }
             if (size < 0) {
@@ -186,10 +189,11 @@
     return state_->handle.write_queue_size;
 }
 
-void stream_socket::close_gracefully()
+void stream_socket::close_gracefully(std::function<void(std::size_t)> on_discarded)
 {
     if (std::exchange(state_->closing_gracefully, true) || state_->handle_is_closing)
         return;
+    state_->on_discarded = std::move(on_discarded);
     state_->listener = nullptr;
     state_->shutdown_request.data = state_;
     uv_tcp_keepalive(&state_->handle, 1, keep_alive_probe_delay_s);
--- a/libraries/http1/stream_socket.hpp
+++ b/libraries/http1/stream_socket.hpp
@@ -50,8 +50,8 @@
     /// Number of written bytes that the operating system hasn't accepted yet.
     std::size_t unsent_bytes() const;
     /// Sends the remaining bytes and closes this side of the connection. The listener is not called
-    /// any more.
-    void close_gracefully();
+    /// any more; bytes that still arrive are discarded and their number passed to the handler.
+    void close_gracefully(std::function<void(std::size_t)> on_discarded);
 
 private:
     struct state;
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -87,7 +87,9 @@
     request_arrival arrival = dialect_.read_request(http_exchange->request().head);
     request_id const id(++last_request_number_);
     arrival.id = id;
-    http_exchange->on_disconnect([this, id] {
+    time_point const arrived_at = context_.clock.now();
+    http_exchange->on_disconnect([this, id, arrived_at](http1::connection_end end) {
+        log_unanswered(id, arrived_at, end);
         exchanges_.erase(id);
         execute(engine_.handle_caller_disconnect(id, context_.clock.now()));
     });
@@ -208,6 +210,18 @@
     log_request_end(command.id, name_of(command.reason), command.status);
 }
 
+void requests_task::log_unanswered(request_id id, time_point arrived_at, http1::connection_end end)
+{
+    auto const found = exchanges_.find(id);
+    if (found == exchanges_.end())
+        return;
+    log_.info("request left unanswered",
+              {field("request", dialect_.answer_id(found->second->request().head).value),
+               field("number", id.get()), field("connection", name_of(end)),
+               field("at_upstream", active_sends_.contains(id)),
+               field("total_us", (context_.clock.now() - arrived_at).count())});
+}
+
 void requests_task::log_request_end(request_id id, std::string_view outcome, int status)
 {
     request_summary const& summary = engine_.last_finished();
@@ -435,6 +449,17 @@
     write_metric("upstream_answers_dropped_for_memory_total",
                  connections.answers_dropped_for_memory);
     write_metric("caller_connections", caller_server_.open_connections());
+    http1::server_counters const& callers = caller_server_.counters();
+    write_metric("caller_connections_accepted_total", callers.accepted);
+    for (std::size_t i = 0; i < http1::connection_end_count; ++i) {
+        char const* const end = name_of(static_cast<http1::connection_end>(i));
+        write_metric(fmt::format("caller_connections_ended_total{{end=\"{}\"}}", end),
+                     callers.ends[i]);
+        write_metric(fmt::format("caller_requests_unanswered_total{{end=\"{}\"}}", end),
+                     callers.unanswered[i]);
+        write_metric(fmt::format("caller_reads_after_end_total{{end=\"{}\"}}", end),
+                     callers.reads_after_end[i]);
+    }
     for (service_times const& each : engine_.median_service_times()) {
         auto const write_median = [&](std::string_view object, duration median) {
             write_metric(fmt::format("service_time_us{{service=\"{}\",object=\"{}\"}}",
--- a/services/burdockstep_gateway/requests/requests_task.hpp
+++ b/services/burdockstep_gateway/requests/requests_task.hpp
@@ -54,6 +54,7 @@
     void report_all_counts(bool to_own_region);
     wire::slot_report make_slot_report(std::vector<wire::upstream_request_count> counts,
                                        bool is_full_report);
+    void log_unanswered(request_id id, time_point arrived_at, http1::connection_end end);
     void log_request_end(request_id id, std::string_view outcome, int status);
     void apply_routing_document(routing_document_applied const& applied_document);
 
--- a/services/burdockstep_gateway/supervisor.cpp
+++ b/services/burdockstep_gateway/supervisor.cpp
@@ -220,6 +220,7 @@
         log_.info("stopped; no requests under way");
     else
         log_.warning("stop limit reached with requests under way");
+    log_metrics();
     end_process(idle ? service_exit_code::stopped : service_exit_code::stop_timed_out);
 }
 
--- a/tests/unit/http1_server_test.cpp
+++ b/tests/unit/http1_server_test.cpp
@@ -140,7 +140,7 @@
 {
     bool disconnected = false;
     listen([&disconnected](http1::exchange& each) {
-        each.on_disconnect([&disconnected] { disconnected = true; });
+        each.on_disconnect([&disconnected](http1::connection_end) { disconnected = true; });
     });
     // Never answered: the caller closes the connection after its receive timeout.
     send_and_run_loop("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
