http1: closing an idle connection neither reads nor drops a request

Cause: an idle connection (idle limit, planned stop) was closed gracefully: this side was shut down, and what still arrived was read and thrown away. That is right behind an answer that says `Connection: close`; an idle caller has not been told anything. Its request that crosses the close has been read, so the caller can't know that it hasn't run and may not send it again. The same happened to a request that had arrived before the limit ran out while the loop was late: timers run before the sockets are read.

Class: input that has been accepted is dropped without a word where two sides decide at once.

Ruled out: requests at an upstream (at_upstream=false, no upstream had them); the caller's own close (end=idle, end=stopping).

Change: before an idle close the socket is looked at once more; with bytes waiting it isn't idle. The close itself is a plain one: later bytes are answered with a reset by the operating system and never read, so the caller may send its request again, whatever its kind. Connections with unsent answers aren't idle either.

Tests, red before: http1_server_test.cpp:265: request_that_has_arrived_when_the_idle_timeout_ expires_is_answered: CHECK(second_answered) failed http1_server_test.cpp:286: request_that_crosses_the_close_of_an_idle_connection_ is_not_read: CHECK(connection_was_reset) failed Both pass now.

--- a/libraries/http1/server_connection.cpp
+++ b/libraries/http1/server_connection.cpp
@@ -21,21 +21,11 @@
     return status >= 200 && status != 204 && status != 304;
 }
 
-/// True if this server ends the connection and the caller is to receive all that was written.
-bool is_orderly(connection_end end)
-{
-    switch (end) {
-    case connection_end::idle:
-    case connection_end::answered:
-    case connection_end::unreadable:
-    case connection_end::stopping:
-        return true;
-    case connection_end::closed_by_caller:
-    case connection_end::reset:
-    case connection_end::aborted:
-        break;
-    }
-    return false;
+/// True if an answer that tells the caller of the close may still be on its way. A reset would
+/// destroy it.
+bool has_just_answered(connection_end end)
+{
+    return end == connection_end::answered || end == connection_end::unreadable;
 }
 
 } // namespace
@@ -166,10 +156,16 @@
 
 void server_connection::close_if_idle()
 {
-    if (unanswered_exchanges_.empty() && !reader_.is_inside_message())
+    if (is_idle())
         end_connection(connection_end::stopping);
 }
 
+bool server_connection::is_idle() const
+{
+    return unanswered_exchanges_.empty() && !reader_.is_inside_message() &&
+           socket_.unsent_bytes() == 0 && !socket_.has_unread_input();
+}
+
 void server_connection::check_time_limits(time_point now)
 {
     if (connection_ended_)
@@ -183,7 +179,7 @@
         }
         return;
     }
-    if (unanswered_exchanges_.empty() && now - last_activity_at_ > limits_.idle_timeout)
+    if (now - last_activity_at_ > limits_.idle_timeout && is_idle())
         end_connection(connection_end::idle);
 }
 
@@ -191,8 +187,10 @@
 {
     if (std::exchange(connection_ended_, true))
         return;
-    if (is_orderly(end))
+    if (has_just_answered(end))
         socket_.close_gracefully(owner_.reader_after_end(end));
+    else
+        socket_.close();
     reader_.stop();
     auto const unanswered = std::exchange(unanswered_exchanges_, {});
     for (auto const& each : unanswered)
--- a/libraries/http1/server_connection.hpp
+++ b/libraries/http1/server_connection.hpp
@@ -36,8 +36,10 @@
     void write_ready_answers();
     void abort();
     void close_after_answers() { closing_after_answers_ = true; }
-    /// Closes the connection if it has no request under way.
+    /// Closes the connection if it is idle.
     void close_if_idle();
+    /// True if no request is under way here or has arrived unread, and all answers are sent.
+    bool is_idle() const;
     /// Answers 408 to a request that is received too slowly, and closes a connection that was idle
     /// for too long.
     void check_time_limits(time_point now);
--- a/libraries/http1/stream_socket.cpp
+++ b/libraries/http1/stream_socket.cpp
@@ -82,6 +82,8 @@
 
 stream_socket::~stream_socket()
 {
+    if (state_ == nullptr)
+        return;
     state_->listener = nullptr;
     // After close_gracefully the handle is closed when the peer closes its side.
     if (!state_->closing_gracefully)
@@ -162,6 +164,8 @@
 
 void stream_socket::write(std::string bytes)
 {
+    if (state_ == nullptr)
+        return;
     auto* const stream = reinterpret_cast<uv_stream_t*>(&state_->handle);
     std::size_t sent_bytes = 0;
     if (state_->handle.write_queue_size == 0) {
@@ -186,12 +190,32 @@
 
 std::size_t stream_socket::unsent_bytes() const
 {
-    return state_->handle.write_queue_size;
+    return state_ == nullptr ? 0 : state_->handle.write_queue_size;
+}
+
+bool stream_socket::has_unread_input() const
+{
+    uv_os_fd_t descriptor = -1;
+    char byte = 0;
+    if (state_ == nullptr ||
+        uv_fileno(reinterpret_cast<uv_handle_t const*>(&state_->handle), &descriptor) != 0)
+        return false;
+    return recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
+void stream_socket::close()
+{
+    if (state_ == nullptr)
+        return;
+    state_->listener = nullptr;
+    // Frees the state in the close callback.
+    std::exchange(state_, nullptr)->close();
 }
 
 void stream_socket::close_gracefully(std::function<void(std::size_t)> on_discarded)
 {
-    if (std::exchange(state_->closing_gracefully, true) || state_->handle_is_closing)
+    if (state_ == nullptr || std::exchange(state_->closing_gracefully, true) ||
+        state_->handle_is_closing)
         return;
     state_->on_discarded = std::move(on_discarded);
     state_->listener = nullptr;
--- a/libraries/http1/stream_socket.hpp
+++ b/libraries/http1/stream_socket.hpp
@@ -49,6 +49,13 @@
     void write(std::string bytes);
     /// Number of written bytes that the operating system hasn't accepted yet.
     std::size_t unsent_bytes() const;
+    /// True if bytes have arrived, or the peer has closed its side, and the listener doesn't know
+    /// yet.
+    bool has_unread_input() const;
+    /// Closes the connection at once and reads nothing more: bytes that still arrive are answered
+    /// with a reset, which tells the peer that they were not read. The listener is not called any
+    /// more.
+    void close();
     /// Sends the remaining bytes and closes this side of the connection. The listener is not called
     /// any more; bytes that still arrive are discarded and their number passed to the handler.
     void close_gracefully(std::function<void(std::size_t)> on_discarded);
@@ -58,7 +65,7 @@
     static void start_reading(state& self);
     static void report_end(state* self, stream_end end_reason);
 
-    state* state_; ///< Freed in the close callback of its libuv handle.
+    state* state_; ///< Freed in the close callback of its libuv handle; null after `close`.
 };
 
 } // namespace burdockstep::http1
--- a/tests/unit/http1_server_test.cpp
+++ b/tests/unit/http1_server_test.cpp
@@ -3,6 +3,11 @@
 #include "tests/fakes/harness.hpp"
 #include "tests/fakes/raw_sockets.hpp"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <thread>
@@ -11,6 +16,31 @@
 using namespace burdockstep;
 using namespace burdockstep::testing;
 
+namespace {
+
+constexpr std::string_view small_request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// Reads until an answer with the body "ran" has arrived; returns false if the connection ends.
+bool receive_answer(int connection)
+{
+    std::string received;
+    std::array<char, 4096> buffer{};
+    while (!received.ends_with("ran")) {
+        ssize_t const size = read(connection, buffer.data(), buffer.size());
+        if (size <= 0)
+            return false;
+        received.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+    return true;
+}
+
+void answer_ran(http1::exchange& each)
+{
+    each.reply({.status = 200, .headers = {}, .body = "ran"});
+}
+
+} // namespace
+
 TEST_GROUP(http1_server)
 {
     event_loop loop;
@@ -50,6 +80,34 @@
         return answer;
     }
 
+    /// Runs the loop until the thread has ended.
+    void run_loop_while(std::function<void()> const& caller_action)
+    {
+        std::atomic<bool> done = false;
+        std::thread caller([&] {
+            caller_action();
+            done = true;
+        });
+        timer poll(loop);
+        poll.start_periodic(ms(5), [&] {
+            if (done)
+                loop.stop();
+        });
+        loop.run();
+        caller.join();
+    }
+
+    /// Closed connections that this server ended for this reason.
+    std::uint64_t ended(http1::connection_end end) const
+    {
+        return server->counters().ends[static_cast<std::size_t>(end)];
+    }
+
+    void set_idle_timeout(duration idle_timeout)
+    {
+        server->set_limits({.idle_timeout = idle_timeout});
+    }
+
     void teardown() override
     {
         received_exchanges.clear();
@@ -168,3 +226,52 @@
     LONGS_EQUAL(2, received_exchanges.size());
     CHECK(answers.find("still open") == std::string::npos);
 }
+
+TEST(http1_server, request_that_has_arrived_when_the_idle_timeout_expires_is_answered)
+{
+    set_idle_timeout(ms(100));
+    std::atomic<bool> loop_is_late = false;
+    listen([&](http1::exchange& each) {
+        if (each.request().head.target == "/slow") {
+            loop_is_late = true;
+            std::this_thread::sleep_for(ms(700));
+        }
+        answer_ran(each);
+    });
+    bool second_answered = false;
+    run_loop_while([&] {
+        int const connection = connect_and_send(at, std::string(small_request));
+        receive_answer(connection);
+        int const other = connect_and_send(at, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n");
+        while (!loop_is_late)
+            std::this_thread::yield();
+        send_all(connection, small_request);
+        second_answered = receive_answer(connection);
+        close(connection);
+        close(other);
+    });
+    CHECK(second_answered);
+}
+
+TEST(http1_server, request_that_crosses_the_close_of_an_idle_connection_is_not_read)
+{
+    set_idle_timeout(ms(100));
+    listen(answer_ran);
+    bool connection_was_reset = false;
+    run_loop_while([&] {
+        int const connection = connect_and_send(at, std::string(small_request));
+        receive_answer(connection);
+        char byte = 0;
+        recv(connection, &byte, sizeof byte, MSG_PEEK); // Until the server closes.
+        send_all(connection, small_request);
+        std::this_thread::sleep_for(ms(50));
+        // A reset tells the caller that nobody has read its request.
+        connection_was_reset = !send_all(connection, small_request);
+        close(connection);
+    });
+    CHECK(connection_was_reset);
+    LONGS_EQUAL(1, ended(http1::connection_end::idle));
+    LONGS_EQUAL(
+        0,
+        server->counters().reads_after_end[static_cast<std::size_t>(http1::connection_end::idle)]);
+}
