http1: changed limits hold for open connections too

Cause: limits of the operators' document were copied into a connection when it was accepted. After a raise, connections of before were still closed at the old idle limit, while callers reuse them up to near the new one, so that closes met requests at any moment; after a lowering the old limit stayed for as long as the connection. Heads were refused with 431 by an old, lower limit in the same way; callers don't send these again.

Class: a value of the operators' document is kept where it was first read.

Ruled out: entries that apply the document late (`configuration in force` precedes the cuts by seconds).

Change: set_limits reaches all open connections. A lower idle timeout holds from a connection's next answer on, as its caller may go by the longer one until then.

Tests, red before, green now (http1_server_test.cpp): :304 raised_idle_timeout_holds_for_connections_that_are_open: second_answered :323 lowered_idle_timeout_does_not_end_connections_last_used_under_the_longer_one: expected <> but was <<still open>> :339 raised_head_limit_holds_for_connections_that_are_open: second_answered

--- a/libraries/http1/message_reader.hpp
+++ b/libraries/http1/message_reader.hpp
@@ -58,6 +58,7 @@
     /// `max_head_bytes` limits the total size of target, header names and header values.
     message_reader(message_kind kind, std::size_t max_head_bytes, message_listener& listener);
 
+    void set_max_head_bytes(std::size_t max_head_bytes) { max_head_bytes_ = max_head_bytes; }
     /// Parses bytes. Returns false once there is a fault.
     bool read(std::string_view bytes);
     /// Handles the end of the stream, which completes a message without a length. Returns false if
--- a/libraries/http1/server.cpp
+++ b/libraries/http1/server.cpp
@@ -178,9 +178,10 @@
     return address::from_sockaddr(reinterpret_cast<sockaddr const&>(bound_address));
 }
 
-void server::set_limits(server_limits limits)
+void server::set_limits(server_limits const& limits)
 {
     state_->limits_ = limits;
+    state_->for_each_connection([&limits](server_connection& each) { each.set_limits(limits); });
 }
 
 void server::close_after_answers()
--- a/libraries/http1/server.hpp
+++ b/libraries/http1/server.hpp
@@ -115,8 +115,9 @@
 
     /// Binds the address and listens. Fails with `invalid_input` if it can't be bound.
     result<address> try_listen(address const& at, request_handler handler);
-    /// Sets the limits of connections accepted from now on.
-    void set_limits(server_limits limits);
+    /// Sets the limits, also of open connections. A lower idle timeout holds for a connection from
+    /// its next answer on: until then its caller may rely on the longer one.
+    void set_limits(server_limits const& limits);
     /// Closes each connection after an answer with no further request pending.
     void close_after_answers();
     /// Accepts no further connections and closes those without a request under way.
--- a/libraries/http1/server_connection.cpp
+++ b/libraries/http1/server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -33,7 +34,8 @@
 server_connection::server_connection(event_loop& loop, clock_source const& clock,
                                      server_limits const& limits, owner& connection_owner)
     : clock_(clock), limits_(limits), owner_(connection_owner), socket_(loop, *this),
-      reader_(message_kind::requests, limits.max_head_bytes, *this), last_activity_at_(clock.now())
+      reader_(message_kind::requests, limits.max_head_bytes, *this), last_activity_at_(clock.now()),
+      idle_timeout_at_answer_(limits.idle_timeout)
 {}
 
 server_connection::~server_connection()
@@ -46,6 +48,12 @@
     return socket_.accept(listening_handle, unacknowledged_timeout);
 }
 
+void server_connection::set_limits(server_limits const& limits)
+{
+    limits_ = limits;
+    reader_.set_max_head_bytes(limits.max_head_bytes);
+}
+
 void server_connection::on_head(message_head head)
 {
     partial_request_ = {.head = std::move(head), .body = {}};
@@ -124,6 +132,7 @@
         write_answer(*answered_exchange, closes_connection);
         answered_exchange->connection_ = nullptr;
         last_activity_at_ = clock_.now();
+        idle_timeout_at_answer_ = limits_.idle_timeout;
         if (closes_connection)
             end_connection(connection_end::answered);
     }
@@ -179,7 +188,8 @@
         }
         return;
     }
-    if (now - last_activity_at_ > limits_.idle_timeout && is_idle())
+    duration const idle_timeout = std::max(limits_.idle_timeout, idle_timeout_at_answer_);
+    if (now - last_activity_at_ > idle_timeout && is_idle())
         end_connection(connection_end::idle);
 }
 
--- a/libraries/http1/server_connection.hpp
+++ b/libraries/http1/server_connection.hpp
@@ -32,6 +32,7 @@
     server_connection& operator=(server_connection const&) = delete;
 
     bool accept(uv_stream_t* listening_handle);
+    void set_limits(server_limits const& limits);
     /// Writes the answers that are ready and have no unanswered request before them.
     void write_ready_answers();
     void abort();
@@ -63,6 +64,7 @@
     server_request partial_request_;
     std::deque<std::shared_ptr<exchange>> unanswered_exchanges_;
     time_point last_activity_at_;
+    duration idle_timeout_at_answer_; ///< Limit when the last answer was written.
     time_point message_started_at_;
     int error_status_ = 0; ///< Set once reading has failed; sent after the other answers.
     bool closing_after_answers_ = false;
--- a/tests/unit/http1_server_test.cpp
+++ b/tests/unit/http1_server_test.cpp
@@ -48,6 +48,7 @@
     std::unique_ptr<http1::server> server = std::make_unique<http1::server>(
         loop, clock, http1::server_limits{.max_head_bytes = 1'024, .max_body_bytes = 64});
     std::vector<std::shared_ptr<http1::exchange>> received_exchanges;
+    timer limits_change{loop};
     address at;
 
     /// Starts listening. Each request is appended to `received_exchanges` and passed to `handler`.
@@ -108,6 +109,17 @@
         server->set_limits({.idle_timeout = idle_timeout});
     }
 
+    /// Listens, answers all requests and sets other limits shortly after the first answer.
+    void listen_and_change_limits(http1::server_limits const& new_limits)
+    {
+        listen([this, new_limits](http1::exchange& each) {
+            answer_ran(each);
+            if (received_exchanges.size() == 1)
+                limits_change.start_once(ms(20),
+                                         [this, new_limits] { server->set_limits(new_limits); });
+        });
+    }
+
     void teardown() override
     {
         received_exchanges.clear();
@@ -275,3 +287,54 @@
         0,
         server->counters().reads_after_end[static_cast<std::size_t>(http1::connection_end::idle)]);
 }
+
+TEST(http1_server, raised_idle_timeout_holds_for_connections_that_are_open)
+{
+    set_idle_timeout(ms(100));
+    listen_and_change_limits({.idle_timeout = std::chrono::seconds(10)});
+    bool second_answered = false;
+    run_loop_while([&] {
+        int const connection = connect_and_send(at, std::string(small_request));
+        receive_answer(connection);
+        std::this_thread::sleep_for(ms(1'200));
+        send_all(connection, small_request);
+        second_answered = receive_answer(connection);
+        close(connection);
+    });
+    CHECK(second_answered);
+}
+
+TEST(http1_server, lowered_idle_timeout_does_not_end_connections_last_used_under_the_longer_one)
+{
+    set_idle_timeout(std::chrono::seconds(10));
+    listen_and_change_limits({.idle_timeout = ms(100)});
+    bool second_answered = false;
+    std::string rest;
+    run_loop_while([&] {
+        int const connection = connect_and_send(at, std::string(small_request));
+        receive_answer(connection);
+        std::this_thread::sleep_for(ms(1'200));
+        send_all(connection, small_request);
+        second_answered = receive_answer(connection);
+        // From this answer on the lower one holds.
+        rest = read_until_close(connection);
+    });
+    CHECK(second_answered);
+    STRCMP_EQUAL("", rest.c_str());
+}
+
+TEST(http1_server, raised_head_limit_holds_for_connections_that_are_open)
+{
+    listen_and_change_limits({.max_head_bytes = 8'192});
+    bool second_answered = false;
+    run_loop_while([&] {
+        int const connection = connect_and_send(at, std::string(small_request));
+        receive_answer(connection);
+        std::this_thread::sleep_for(ms(100));
+        send_all(connection,
+                 "GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(2'000, 'x') + "\r\n\r\n");
+        second_answered = receive_answer(connection);
+        close(connection);
+    });
+    CHECK(second_answered);
+}
