gateway: a stopping entry sends only what certainly ends before it does

What callers saw: during a planned stop of an entry, requests that came late in the grace were taken and passed on, and cut without an answer when the process ended, among them requests that may not be repeated.

Cause: requests were taken until 2.6 s before the stop limit, whatever their deadline or their route's timeout. One that could last longer than 2.35 s was cut 0.2 s before the limit. Ruled out: the upstream and the connection to it (the upstream was still at work), and an end before the limit (the process waited for what was under way, but only that long).

Change: from SIGTERM on, a request is taken, and sent again, only if its latest end (the earlier of the caller's deadline and the route's timeout) lies 200 ms before the end of the process. Otherwise it is refused at once (503, Retry-After 50 ms, connection closed), and the callers return at another entry. Waiting requests without that time are refused when the stop begins. A request without a deadline ends at its route's timeout. In the last 2.6 s nothing new is taken, as before. The end of the process is fixed when the stop begins, so that settings that are read again don't move it. `stopping` is now counted and logged like the other refusals.

Weighed: to take a request when its expected time fits. It would keep more of the long-deadline requests here, but upstreams slow down in just the calm that planned work relies on, and then a request that may not be repeated is cut. A refusal costs its caller 50 ms and a connection elsewhere.

Not changed: a request that was sent before SIGTERM and may outlast the process isn't broken off sooner. It isn't sent again if its send fails.

--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -116,7 +116,8 @@
 
 bool forwarding_engine::may_send_again(pending_request const& request, time_point now)
 {
-    if (request.sends >= request.matched_route->max_upstreams)
+    if (request.sends >= request.matched_route->max_upstreams ||
+        !stop_admission_.may_send(request.deadline))
         return false;
     duration const needed_time = std::chrono::duration_cast<duration>(
         expected_service_time(request, false) * min_service_times_for_repeat);
@@ -175,7 +176,7 @@
         if (not_run && reason == refusal::no_route)
             answer.status = status_not_found;
         else if (not_run)
-            answer.retry_after = retry_after(request, now);
+            answer.retry_after = retry_after(request, reason, now);
     }
     else {
         answer.status = reason == refusal::answer_timeout ? status_timeout : status_bad_gateway;
@@ -187,8 +188,10 @@
 }
 
 std::optional<duration> forwarding_engine::retry_after(pending_request const& request,
-                                                       time_point now)
+                                                       refusal reason, time_point now)
 {
+    if (reason == refusal::stopping)
+        return options_.stopping_retry_delay;
     if (request.matched_route == nullptr)
         return default_retry_after;
     time_point const accepted_from = acceptance_time(request).value_or(now);
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -71,7 +71,7 @@
 
 forwarding_engine::forwarding_engine(forwarding_options options, random_source& random)
     : options_(std::move(options)), random_(random), admission_(options_.admission, random),
-      region_share_(options_.region_shift_limits),
+      stop_admission_(options_.stop_admission), region_share_(options_.region_shift_limits),
       place_round_trip_(options_.default_place_round_trip)
 {}
 
@@ -200,6 +200,23 @@
     return out;
 }
 
+forwarding_engine::commands forwarding_engine::begin_stop(time_point process_end, time_point now)
+{
+    commands out;
+    stop_admission_.begin(process_end);
+    for (auto& [service, waiting] : waiting_requests_) {
+        auto const waiting_before = waiting;
+        for (request_id const id : waiting_before) {
+            pending_request& request = requests_.at(id);
+            if (stop_admission_.may_send(request.deadline))
+                continue;
+            std::erase(waiting, id);
+            end_with_refusal(request, refusal::stopping, now, out);
+        }
+    }
+    return out;
+}
+
 forwarding_engine::commands forwarding_engine::submit(request_arrival arrival, time_point now)
 {
     commands out;
@@ -221,6 +238,10 @@
         return out;
     }
     request.deadline = std::min(request.deadline, now + request.matched_route->timeout);
+    if (!stop_admission_.may_take(request.deadline)) {
+        end_with_refusal(request, refusal::stopping, now, out);
+        return out;
+    }
     request.service = service_splits_.next_service(*request.matched_route);
     service_pool& pool = pools_[request.service];
     pool.retry_budget.record_request(now, options_.retry_budget.window);
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -6,6 +6,7 @@
 #include "libraries/dispatch/reported_slot_usage.hpp"
 #include "libraries/forwarding/admission.hpp"
 #include "libraries/forwarding/forwarding_messages.hpp"
+#include "libraries/forwarding/stop_admission.hpp"
 #include "libraries/forwarding/upstream_tracker.hpp"
 #include "libraries/requests/request_stage.hpp"
 #include "libraries/requests/windowed_retry_budget.hpp"
@@ -31,6 +32,7 @@
     region_name region;
     upstream_tracker_options tracker_options;
     admission_options admission;
+    stop_admission_options stop_admission;
     outbound_fraction_limiter_options region_shift_limits;
     retry_limits retry_budget;
     std::size_t max_requests_under_way = 4'096;
@@ -50,6 +52,8 @@
     /// Non-idempotent requests don't reuse a kept connection that has been idle for longer: the
     /// upstream may have closed it.
     duration non_idempotent_idle_limit = std::chrono::milliseconds(4'000);
+    /// Retry-After of requests that are refused during a planned stop: another entry takes them.
+    duration stopping_retry_delay = std::chrono::milliseconds(50);
 };
 
 /// Totals since the start, for metrics.
@@ -119,6 +123,12 @@
     /// 404, so that its caller retries.
     void set_routes_incomplete(bool incomplete) { routes_incomplete_ = incomplete; }
 
+    /// Begins a planned stop of the process, which ends at `process_end`. From now on a request is
+    /// taken and sent only if its deadline lies before that; waiting ones without that are refused.
+    commands begin_stop(time_point process_end, time_point now);
+    /// Refuses all new requests from now on, as the last part of a planned stop.
+    void refuse_new_requests() { stop_admission_.refuse_new_requests(); }
+
     /// Takes a new request: sends, holds or refuses it.
     commands submit(request_arrival arrival, time_point now);
     commands handle_send_end(request_id id, send_end_report const& report, time_point now);
@@ -274,7 +284,8 @@
     void handle_deadline(pending_request& request, time_point now, commands& out);
     /// Forgets a request and keeps its summary in `last_finished_`.
     void finish(pending_request& request, time_point now);
-    std::optional<duration> retry_after(pending_request const& request, time_point now);
+    std::optional<duration> retry_after(pending_request const& request, refusal reason,
+                                        time_point now);
     /// The tracker of the request's upstream if that is still the incarnation to which the request
     /// was sent, or null.
     upstream_tracker* tracker_of_send(pending_request const& request);
@@ -298,6 +309,7 @@
     forwarding_options options_;
     random_source& random_;
     admission admission_;
+    stop_admission stop_admission_;
     std::unique_ptr<route_table> routes_;
     std::shared_ptr<routing_document const> document_;
     weighted_split service_splits_;
--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -123,7 +123,9 @@
 
 /// A planned stop has begun: look-ups must no longer return this entry.
 struct stop_begun
-{};
+{
+    time_point process_end; ///< When the process ends, even with requests under way.
+};
 
 /// Callers have had time to repeat their look-up during a planned stop: new requests are refused
 /// from now on.
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -15,8 +15,6 @@
 /// After the process was suspended, requests wait for the registry to be read again, but no longer
 /// than this.
 constexpr duration max_suspension = std::chrono::milliseconds(1'500);
-/// Retry-After of requests that are refused during a planned stop.
-constexpr duration stopping_retry_delay = std::chrono::milliseconds(50);
 /// Incomplete answers may take this part of the process's memory.
 constexpr std::size_t answer_buffer_divisor = 4;
 constexpr int status_unavailable = 503;
@@ -79,11 +77,6 @@
 
 void requests_task::handle_request(std::shared_ptr<http1::exchange> http_exchange)
 {
-    if (refuses_requests_) {
-        http_exchange->reply(dialect_.gateway_answer(http_exchange->request().head,
-                                                     status_unavailable, stopping_retry_delay));
-        return;
-    }
     request_arrival arrival = dialect_.read_request(http_exchange->request().head);
     request_id const id(++last_request_number_);
     arrival.id = id;
@@ -387,12 +380,12 @@
     else if (std::holds_alternative<process_resumed>(new_event)) {
         engine_.suspend(now + max_suspension);
     }
-    else if (std::holds_alternative<stop_begun>(new_event)) {
-        stopping_ = true;
+    else if (auto const* const stop = std::get_if<stop_begun>(&new_event)) {
         caller_server_.close_after_answers();
+        execute(engine_.begin_stop(stop->process_end, now));
     }
     else if (std::holds_alternative<caller_grace_period_ended>(new_event)) {
-        refuses_requests_ = true;
+        engine_.refuse_new_requests();
         caller_server_.stop_accepting();
     }
 }
--- a/services/burdockstep_gateway/requests/requests_task.hpp
+++ b/services/burdockstep_gateway/requests/requests_task.hpp
@@ -81,8 +81,6 @@
     std::uint64_t last_request_number_ = 0;
     std::uint64_t last_report_number_ = 0;
     unsigned maintenance_runs_ = 0;
-    bool stopping_ = false;
-    bool refuses_requests_ = false; ///< New requests are refused near the end of a planned stop.
     latency_histogram request_latencies_;
     latency_histogram hold_times_; ///< Of all requests, from arrival to the first send or the end.
     /// Mean age of the slot reports, sampled at each run of the maintenance timer.
--- a/services/burdockstep_gateway/supervisor.cpp
+++ b/services/burdockstep_gateway/supervisor.cpp
@@ -197,23 +197,24 @@
     if (stopping_)
         return;
     stopping_ = true;
-    stop_started_at_ = context_.clock.now();
+    time_point const now = context_.clock.now();
+    stop_ends_at_ = now + settings_.stop_limit - stop_limit_margin;
+    caller_grace_period_ends_at_ = now + settings_.stop_limit - request_completion_time;
     log_.info("stop begun; look-ups no longer return this entry",
               {field("instance", settings_.instance.get())});
-    deliver(stop_begun{});
+    deliver(stop_begun{.process_end = stop_ends_at_});
     stop_timer_.start_periodic(stop_check_interval, [this] { check_stop_progress(); });
 }
 
 void supervisor::check_stop_progress()
 {
-    duration const elapsed = context_.clock.now() - stop_started_at_;
-    duration const caller_grace_period = settings_.stop_limit - request_completion_time;
-    if (!caller_grace_period_ended_ && elapsed >= caller_grace_period) {
+    time_point const now = context_.clock.now();
+    if (!caller_grace_period_ended_ && now >= caller_grace_period_ends_at_) {
         caller_grace_period_ended_ = true;
         deliver(caller_grace_period_ended{});
     }
     bool const idle = tasks_.is_idle();
-    bool const limit_reached = elapsed >= settings_.stop_limit - stop_limit_margin;
+    bool const limit_reached = now >= stop_ends_at_;
     if (!limit_reached && !(caller_grace_period_ended_ && idle))
         return;
     if (idle)
--- a/services/burdockstep_gateway/supervisor.hpp
+++ b/services/burdockstep_gateway/supervisor.hpp
@@ -52,7 +52,8 @@
     std::int64_t settings_modified_at_ns_ = 0;
     duration last_housekeeping_at_{}; ///< Time since boot, including time in system sleep.
     unsigned housekeeping_runs_ = 0;
-    time_point stop_started_at_;
+    time_point stop_ends_at_;
+    time_point caller_grace_period_ends_at_;
     bool stopping_ = false;
     bool caller_grace_period_ended_ = false;
     service_exit_code exit_reason_ = service_exit_code::stopped;
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -386,6 +386,60 @@
     assert gateway["process"].wait() == 0
 
 
+def http_answer(connection, path, request_id, method="GET"):
+    """Sends a request on a connection and returns the status and the headers of the answer."""
+    headers = {"Host": "h", "X-Request-Id": request_id, "Content-Length": "0"}
+    connection.request(method, path, headers=headers)
+    answer = connection.getresponse()
+    answer.read()
+    return answer.status, {name.lower(): value for name, value in answer.getheaders()}
+
+
+def begin_stop(gateway):
+    gateway["process"].signal(signal.SIGTERM)
+    wait_until(lambda: "stop begun" in gateway["process"].log.read_text(errors="replace"),
+               "the stop has begun")
+
+
+def start_further_gateway(deployment):
+    gateway = deployment.start_gateway(len(deployment.gateways))
+    wait_until(lambda: deployment.ready(gateway), "the further gateway is ready")
+    return gateway
+
+
+def set_writes(deployment, change):
+    """Changes the behaviour of both upstreams of the service of writes."""
+    for name in ("w1", "w2"):
+        deployment.post_control("change", name=name, change=change)
+
+
+def write_arrivals(deployment):
+    arrivals = deployment.state()["arrivals"]
+    return arrivals["w1"] + arrivals["w2"]
+
+
+def check_stopping_gateway_passes_on_no_write_that_it_may_have_to_cut(deployment):
+    """The write comes 0.9 s after SIGTERM and may take until its route's timeout of 3 s; the process
+    ends 3.75 s after SIGTERM."""
+    gateway = start_further_gateway(deployment)
+    set_writes(deployment, "stuck")
+    before = write_arrivals(deployment)
+    caller = http.client.HTTPConnection("127.0.0.1", gateway["callers"], timeout=10)
+    caller.connect()
+    begin_stop(gateway)
+    time.sleep(0.9)
+    try:
+        status, headers = http_answer(caller, "/write/late", "late", "POST")
+    except (http.client.HTTPException, OSError) as problem:
+        raise AssertionError(f"a write was cut at the end of the stop: {problem!r}") from problem
+    assert status == 503, status
+    assert headers["connection"] == "close" and float(headers["retry-after"]) <= 0.1, headers
+    assert write_arrivals(deployment) == before, "the refused write was passed on"
+    set_writes(deployment, "heal")
+    assert gateway["process"].wait() == 0
+    deployment.gateways.remove(gateway)
+
+
 def main():
     with GatewayDeployment(sys.argv[1]) as deployment:
         for check in (check_requests_reach_upstreams_of_their_route,
@@ -399,6 +453,7 @@
                       check_requests_are_served_during_store_faults,
                       check_one_gateway_calls_the_store_at_most_a_third_as_often,
                       check_invalid_settings_are_ignored_on_reload,
+                      check_stopping_gateway_passes_on_no_write_that_it_may_have_to_cut,
                       check_look_ups_drop_a_killed_gateway,
                       check_planned_stop_completes_requests_under_way):
             started_at = time.monotonic()
