gateway: a planned stop ends only when all answers are sent

What callers saw: a large answer to a slow caller ended early when its entry stopped, though the upstream had given it in time.

Cause: the process counted as idle as soon as an answer was written, and ended 50 ms later. What the operating system hadn't taken over yet was lost. Such answers belong to connections that are closing already, as every answer in a stop closes its connection.

Change: `server::unsent_bytes()` counts the bytes that wait in the sockets that were accepted at the server's port, closing ones included. The gateway is idle only when it is zero, or ends at the stop limit as before.

--- a/libraries/http1/server.cpp
+++ b/libraries/http1/server.cpp
@@ -15,6 +15,30 @@
 /// Time limits are seconds long, so this resolution is enough.
 constexpr duration time_limit_check_interval = std::chrono::milliseconds(500);
 
+/// Unsent bytes of the sockets that were accepted on a port.
+struct unsent_bytes_of_port
+{
+    std::uint16_t port = 0;
+    std::size_t total = 0;
+};
+
+void add_unsent_bytes(uv_handle_t* handle, void* argument)
+{
+    auto& sum = *static_cast<unsent_bytes_of_port*>(argument);
+    if (handle->type != UV_TCP || uv_is_closing(handle) != 0)
+        return;
+    std::size_t const unsent =
+        uv_stream_get_write_queue_size(reinterpret_cast<uv_stream_t*>(handle));
+    if (unsent == 0)
+        return;
+    sockaddr_storage local_address{};
+    int length = sizeof local_address;
+    uv_tcp_getsockname(reinterpret_cast<uv_tcp_t*>(handle),
+                       reinterpret_cast<sockaddr*>(&local_address), &length);
+    if (address::from_sockaddr(reinterpret_cast<sockaddr const&>(local_address)).port == sum.port)
+        sum.total += unsent;
+}
+
 } // namespace
 
 std::string_view reason_phrase(int status)
@@ -80,6 +104,7 @@
     timer time_limit_timer_;
     request_handler handler_;
     uv_tcp_t* listening_handle_ = nullptr;
+    address listening_address_;
     std::unordered_map<server_connection*, std::unique_ptr<server_connection>> connections_;
     std::uint64_t accepted_ = 0;
     bool closing_after_answers_ = false;
@@ -127,7 +152,9 @@
     sockaddr_storage bound_address{};
     int length = sizeof bound_address;
     uv_tcp_getsockname(listening_handle, reinterpret_cast<sockaddr*>(&bound_address), &length);
-    return address::from_sockaddr(reinterpret_cast<sockaddr const&>(bound_address));
+    state_->listening_address_ =
+        address::from_sockaddr(reinterpret_cast<sockaddr const&>(bound_address));
+    return state_->listening_address_;
 }
 
 void server::set_limits(server_limits limits)
@@ -152,6 +179,14 @@
     return state_->connections_.size();
 }
 
+std::size_t server::unsent_bytes() const
+{
+    // Only the loop still knows the sockets that are closing gracefully.
+    unsent_bytes_of_port sum{.port = state_->listening_address_.port};
+    uv_walk(state_->loop_.raw(), add_unsent_bytes, &sum);
+    return sum.total;
+}
+
 std::uint64_t server::accepted() const
 {
     return state_->accepted_;
--- a/libraries/http1/server.hpp
+++ b/libraries/http1/server.hpp
@@ -91,6 +91,9 @@
     /// Accepts no further connections and closes those without a request under way.
     void stop_accepting();
     std::size_t open_connections() const;
+    /// Bytes of answers that the operating system hasn't taken over yet, including those of
+    /// connections that are closing.
+    std::size_t unsent_bytes() const;
     /// Number of connections accepted since the start.
     std::uint64_t accepted() const;
 
--- a/services/burdockstep_gateway/requests/requests_task.hpp
+++ b/services/burdockstep_gateway/requests/requests_task.hpp
@@ -27,7 +27,11 @@
     std::string_view name() const override { return "requests"; }
     result<void> try_start() override;
     void receive(event const& new_event) override;
-    bool is_idle() const override { return exchanges_.empty(); }
+    /// True when all requests have ended and their answers have been sent.
+    bool is_idle() const override
+    {
+        return exchanges_.empty() && caller_server_.unsent_bytes() == 0;
+    }
     void write_metrics(std::string& out) const override;
 
 private:
--- a/tests/fakes/raw_sockets.cpp
+++ b/tests/fakes/raw_sockets.cpp
@@ -101,16 +101,23 @@
     }
 }
 
-std::string send_and_read_until_close(address const& to, std::string const& bytes)
+int connect_and_send(address const& to, std::string const& bytes)
 {
     int const connection = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in const socket_address = to.to_sockaddr();
     if (connect(connection, reinterpret_cast<sockaddr const*>(&socket_address),
-                sizeof socket_address) != 0)
-        return {};
+                sizeof socket_address) != 0) {
+        close(connection);
+        return -1;
+    }
     timeval const receive_timeout{.tv_sec = 2, .tv_usec = 0};
     setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout, sizeof receive_timeout);
     send_all(connection, bytes);
+    return connection;
+}
+
+std::string read_until_close(int connection)
+{
     std::string answer;
     std::array<char, 4096> buffer{};
     ssize_t size = 0;
@@ -121,4 +128,10 @@
     return closed ? answer : answer + "<still open>";
 }
 
+std::string send_and_read_until_close(address const& to, std::string const& bytes)
+{
+    int const connection = connect_and_send(to, bytes);
+    return connection < 0 ? std::string() : read_until_close(connection);
+}
+
 } // namespace burdockstep::testing
--- a/tests/fakes/raw_sockets.hpp
+++ b/tests/fakes/raw_sockets.hpp
@@ -62,8 +62,14 @@
     std::thread thread_;
 };
 
-/// Sends raw bytes and returns everything received until the peer closes. If nothing arrives for
-/// two seconds, returns what was received with "<still open>" appended.
+/// Connects, sends raw bytes and returns the descriptor, or -1 if the connection failed.
+int connect_and_send(address const& to, std::string const& bytes);
+
+/// Returns everything received until the peer closes, and closes the descriptor. If nothing arrives
+/// for two seconds, returns what was received with "<still open>" appended.
+std::string read_until_close(int connection);
+
+/// `connect_and_send`, then `read_until_close`.
 std::string send_and_read_until_close(address const& to, std::string const& bytes);
 
 } // namespace burdockstep::testing
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -1,6 +1,7 @@
 """Runs three gateways as processes against the site stand-in, which simulates the platform's store
 and the upstreams. Checks routing, leaving upstreams, store faults, reloads, kills and stops."""
 import http.client
+import io
 import json
 import pathlib
 import signal
@@ -440,6 +441,32 @@
     deployment.gateways.remove(gateway)
 
 
+def check_stopping_gateway_ends_only_after_its_answers_are_sent(deployment):
+    """The caller begins to read after the callers' grace period of 1.4 s."""
+    gateway = start_further_gateway(deployment)
+    set_writes(deployment, "large")
+    answered = metric(gateway, "requests_answered_total")
+    with socket.create_connection(("127.0.0.1", gateway["callers"]), 5) as caller:
+        caller.sendall(b"POST /write/large HTTP/1.1\r\nHost: h\r\nX-Request-Id: large\r\n"
+                       b"Content-Length: 0\r\n\r\n")
+        wait_until(lambda: metric(gateway, "requests_answered_total") > answered,
+                   "the upstream has answered")
+        set_writes(deployment, "heal")
+        begin_stop(gateway)
+        time.sleep(2.0)
+        received = b""
+        try:
+            while chunk := caller.recv(1 << 20):
+                received += chunk
+        except OSError as problem:
+            print(f"the connection ended with {problem!r}")
+    head, _, body = received.partition(b"\r\n\r\n")
+    length = int(http.client.parse_headers(io.BytesIO(head.partition(b"\r\n")[2]))["content-length"])
+    assert len(body) == length, f"the answer was cut: {len(body)} of {length} bytes arrived"
+    assert gateway["process"].wait() == 0
+    deployment.gateways.remove(gateway)
+
+
 def main():
     with GatewayDeployment(sys.argv[1]) as deployment:
         for check in (check_requests_reach_upstreams_of_their_route,
@@ -454,6 +481,7 @@
                       check_one_gateway_calls_the_store_at_most_a_third_as_often,
                       check_invalid_settings_are_ignored_on_reload,
                       check_stopping_gateway_passes_on_no_write_that_it_may_have_to_cut,
+                      check_stopping_gateway_ends_only_after_its_answers_are_sent,
                       check_look_ups_drop_a_killed_gateway,
                       check_planned_stop_completes_requests_under_way):
             started_at = time.monotonic()
--- a/tests/unit/http1_server_test.cpp
+++ b/tests/unit/http1_server_test.cpp
@@ -76,6 +76,35 @@
     CHECK(answers.find("still open") == std::string::npos);
 }
 
+TEST(http1_server, answer_counts_as_unsent_until_a_slow_caller_of_a_closing_connection_has_it)
+{
+    constexpr std::size_t body_bytes = std::size_t{32} * 1024 * 1024;
+    listen([](http1::exchange& each) {
+        each.reply({.status = 200, .headers = {}, .body = std::string(body_bytes, 'x')});
+    });
+    server->close_after_answers();
+    int const connection = connect_and_send(at, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    timer poll(loop);
+    poll.start_periodic(ms(5), [&] {
+        if (!received_exchanges.empty() && server->open_connections() == 0)
+            loop.stop();
+    });
+    loop.run();
+    CHECK(server->unsent_bytes() > 0);
+
+    std::string answer;
+    std::thread caller([&] { answer = read_until_close(connection); });
+    poll.start_periodic(ms(5), [&] {
+        if (server->unsent_bytes() == 0)
+            loop.stop();
+    });
+    loop.run();
+    // The operating system sends what it has taken over, although the loop no longer runs.
+    caller.join();
+    CHECK(answer.size() > body_bytes);
+    CHECK(answer.find("still open") == std::string::npos);
+}
+
 TEST(http1_server, connection_closes_only_after_all_read_requests_are_answered)
 {
     listen([this](http1::exchange&) {
