gateway: a stopping entry refuses requests until it ends

What callers saw: some callers keep a look-up for up to three times its lifetime and came to an entry that was still finishing its requests, but found its port closed; requests on kept connections crossed a silent close and got neither an answer nor a refusal.

Cause: 2.6 s before the stop limit the listening socket and all idle connections were closed, although the process lived on while requests were under way.

Change: the listening socket is closed only when the process ends (50 ms before it exits), and idle connections stay open until then. Requests that come in the last part of the stop get 503, Retry-After and `Connection: close`. `server::stop_accepting` no longer closes idle connections. Readiness still turns false with SIGTERM, and an idle process still ends after the callers' grace period. `server_connection::close_if_idle` has no caller any more.

--- a/libraries/http1/server.cpp
+++ b/libraries/http1/server.cpp
@@ -171,7 +171,6 @@
 void server::stop_accepting()
 {
     state_->stop_accepting();
-    state_->for_each_connection([](server_connection& each) { each.close_if_idle(); });
 }
 
 std::size_t server::open_connections() const
--- a/libraries/http1/server.hpp
+++ b/libraries/http1/server.hpp
@@ -88,7 +88,7 @@
     void set_limits(server_limits limits);
     /// Closes each connection after an answer with no further request pending.
     void close_after_answers();
-    /// Accepts no further connections and closes those without a request under way.
+    /// Accepts no further connections. Requests on the open ones are still passed to the handler.
     void stop_accepting();
     std::size_t open_connections() const;
     /// Bytes of answers that the operating system hasn't taken over yet, including those of
--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -132,7 +132,7 @@
 struct caller_grace_period_ended
 {};
 
-/// The process is about to exit.
+/// A planned stop is complete or has reached its limit: the process exits within milliseconds.
 struct process_ending
 {};
 
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -386,6 +386,8 @@
     }
     else if (std::holds_alternative<caller_grace_period_ended>(new_event)) {
         engine_.refuse_new_requests();
+    }
+    else if (std::holds_alternative<process_ending>(new_event)) {
         caller_server_.stop_accepting();
     }
 }
--- a/services/burdockstep_gateway/supervisor.cpp
+++ b/services/burdockstep_gateway/supervisor.cpp
@@ -221,6 +221,7 @@
         log_.info("stopped; no requests under way");
     else
         log_.warning("stop limit reached with requests under way");
+    deliver(process_ending{});
     end_process(idle ? service_exit_code::stopped : service_exit_code::stop_timed_out);
 }
 
@@ -228,7 +229,8 @@
 {
     exit_reason_ = reason;
     stop_timer_.stop();
-    // Leaves the event loop time to send the answers that were just written.
+    // Leaves the event loop time to send the answers that were just written, and to refuse requests
+    // that arrive now.
     stop_timer_.start_once(stop_check_interval, [this] { loop_.stop(); });
 }
 
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -467,6 +467,34 @@
     deployment.gateways.remove(gateway)
 
 
+def check_stopping_gateway_refuses_requests_until_it_ends(deployment):
+    """A write under way keeps the entry running beyond the callers' grace period of 1.4 s."""
+    gateway = start_further_gateway(deployment)
+    set_writes(deployment, "stuck")
+    kept = http.client.HTTPConnection("127.0.0.1", gateway["callers"], timeout=10)
+    assert http_answer(kept, "/read/x", "kept1")[0] == 200
+    statuses = []
+    writer = threading.Thread(target=lambda: statuses.append(
+        deployment.call(gateway, "/write/x", "under-way", "POST", b"x")[0]))
+    before = write_arrivals(deployment)
+    writer.start()
+    wait_until(lambda: write_arrivals(deployment) == before + 1, "the write is at its upstream")
+    begin_stop(gateway)
+    time.sleep(1.7)
+    new = http.client.HTTPConnection("127.0.0.1", gateway["callers"], timeout=10)
+    for name, connection in (("kept", kept), ("new", new)):
+        try:
+            status, headers = http_answer(connection, "/read/x", f"{name}2")
+        except (http.client.HTTPException, OSError) as problem:
+            raise AssertionError(f"{name} connection got no answer: {problem!r}") from problem
+        assert (status, headers["connection"]) == (503, "close"), (name, status, headers)
+    writer.join()
+    assert statuses == [504], statuses
+    set_writes(deployment, "heal")
+    assert gateway["process"].wait() == 0
+    deployment.gateways.remove(gateway)
+
+
 def main():
     with GatewayDeployment(sys.argv[1]) as deployment:
         for check in (check_requests_reach_upstreams_of_their_route,
@@ -482,6 +510,7 @@
                       check_invalid_settings_are_ignored_on_reload,
                       check_stopping_gateway_passes_on_no_write_that_it_may_have_to_cut,
                       check_stopping_gateway_ends_only_after_its_answers_are_sent,
+                      check_stopping_gateway_refuses_requests_until_it_ends,
                       check_look_ups_drop_a_killed_gateway,
                       check_planned_stop_completes_requests_under_way):
             started_at = time.monotonic()
