gateway: the log names the requests that the end of a stop cuts

What operators saw: "stop limit reached with requests under way", and nothing that told which requests, at which upstream or why they took so long.

Failed before (process): AssertionError: the log names the cut request: [] After: 274 unit tests and tests/process/test_gateway.py pass.

--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -88,6 +88,27 @@
     return service_names;
 }
 
+std::vector<request_under_way>
+forwarding_engine::oldest_requests_under_way(std::size_t max_requests, time_point now) const
+{
+    std::vector<request_under_way> found;
+    for (auto const& [id, request] : requests_) {
+        if (request.discards_answer)
+            continue;
+        found.push_back({.id = id,
+                         .caller_id = request.arrival.caller_id,
+                         .route = request.matched_route->name,
+                         .at_upstream = request.at_upstream,
+                         .upstream = request.upstream,
+                         .age = now - request.arrived,
+                         .time_left = request.deadline - now});
+    }
+    std::sort(found.begin(), found.end(),
+              [](auto const& left, auto const& right) { return left.age > right.age; });
+    found.resize(std::min(found.size(), max_requests));
+    return found;
+}
+
 std::vector<service_times> forwarding_engine::median_service_times() const
 {
     std::vector<service_times> times;
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -97,6 +97,18 @@
     configuration_version version;
 };
 
+/// A request under way that its caller still waits for.
+struct request_under_way
+{
+    request_id id;
+    std::string caller_id;
+    std::string route;
+    bool at_upstream = false; ///< Otherwise it waits for a slot.
+    upstream_name upstream;   ///< To which the request was last sent.
+    duration age{};           ///< Since its arrival.
+    duration time_left{};     ///< Until its latest end.
+};
+
 /// State machine for the requests under way. It does no I/O itself: each input returns the
 /// commands that the calling code has to carry out.
 class forwarding_engine
@@ -160,6 +172,9 @@
     duration mean_report_age(time_point now) const { return peer_counts_.mean_report_age(now); }
 
     std::size_t requests_under_way() const { return requests_.size(); }
+    /// The oldest requests under way that their callers still wait for, the oldest first.
+    std::vector<request_under_way> oldest_requests_under_way(std::size_t max_requests,
+                                                             time_point now) const;
     forwarding_counters const& counters() const { return counters_; }
     std::vector<service_times> median_service_times() const;
     /// The request that finished last.
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -17,6 +17,8 @@
 constexpr duration max_suspension = std::chrono::milliseconds(1'500);
 /// Incomplete answers may take this part of the process's memory.
 constexpr std::size_t answer_buffer_divisor = 4;
+/// At most this many requests that are cut by the end of the process get a line in the log.
+constexpr std::size_t max_logged_cut_requests = 20;
 constexpr int status_unavailable = 503;
 constexpr std::size_t max_request_body_bytes = std::size_t{64} * 1024 * 1024;
 
@@ -213,6 +215,22 @@
                field("configuration", summary.version.get())});
 }
 
+void requests_task::log_cut_requests()
+{
+    auto const requests =
+        engine_.oldest_requests_under_way(max_logged_cut_requests, context_.clock.now());
+    for (request_under_way const& each : requests) {
+        log_.warning("request is cut by the end of the process",
+                     {field("request", each.caller_id), field("number", each.id.get()),
+                      field("stage", each.at_upstream ? "at-upstream" : "waiting"),
+                      field("route", each.route), field("upstream", each.upstream.get()),
+                      field("age_us", each.age.count()),
+                      field("time_left_us", each.time_left.count())});
+    }
+    if (std::size_t const unsent_bytes = caller_server_.unsent_bytes(); unsent_bytes > 0)
+        log_.warning("answers are cut by the end of the process", {field("bytes", unsent_bytes)});
+}
+
 void requests_task::execute(probe_upstream const& command)
 {
     http1::call_options call{.to = command.to,
@@ -389,6 +407,7 @@
     }
     else if (std::holds_alternative<process_ending>(new_event)) {
         caller_server_.stop_accepting();
+        log_cut_requests();
     }
 }
 
--- a/services/burdockstep_gateway/requests/requests_task.hpp
+++ b/services/burdockstep_gateway/requests/requests_task.hpp
@@ -58,6 +58,8 @@
     void report_all_counts(bool to_own_region);
     wire::slot_report make_slot_report(std::vector<wire::upstream_request_count> counts,
                                        bool is_full_report);
+    /// Logs the requests and answers that the end of the process cuts.
+    void log_cut_requests();
     void log_request_end(request_id id, std::string_view outcome, int status);
     void apply_routing_document(routing_document_applied const& applied_document);
 
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -99,19 +99,19 @@
     def state(self):
         return json.loads(http_call("GET", f"{self.control}/control/state")[2])
 
-    def apply(self, reads_prefix="/read/"):
+    def apply(self, reads_prefix="/read/", write_timeout_ms=3000):
         self.version += 3
-        def rule(prefix, kind, service):
+        def rule(prefix, kind, service, timeout_ms=3000):
             return {"name": prefix, "kind": kind, "targetLatencyMs": 1000, "priority": 1,
                     "affinity": True, "match": {"prefix": prefix},
-                    "action": {"service": service, "timeoutMs": 3000, "maxAttempts": 2,
+                    "action": {"service": service, "timeoutMs": timeout_ms, "maxAttempts": 2,
                                "homeRegions": []}}
         document = {"version": f"r{self.version}",
                     "limits": {"headerBytes": 16384, "maxBodyBytes": 100000,
                                "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
                     "listeners": [{"host": "h", "rules": [
                         rule(reads_prefix, "idempotent", "reads"),
-                        rule("/write/", "non_idempotent", "writes")]}],
+                        rule("/write/", "non_idempotent", "writes", write_timeout_ms)]}],
                     "clusters": [{"name": name, "healthPath": "/health", "maxConns": 100,
                                   "coldStartS": 0.2, "coldPerS": 100}
                                  for name in ("reads", "writes")]}
@@ -495,6 +495,30 @@
     deployment.gateways.remove(gateway)
 
 
+def check_stopping_gateway_logs_the_requests_that_it_cuts(deployment):
+    """Without a deadline and with a long timeout, a write may last longer than the stop."""
+    gateway = start_further_gateway(deployment)
+    set_writes(deployment, "stuck")
+    deployment.apply(write_timeout_ms=20000)
+    version = deployment.version
+    wait_until(lambda: metric(gateway, "configuration_version") == version,
+               "the gateway has the new timeout")
+    caller = http.client.HTTPConnection("127.0.0.1", gateway["callers"], timeout=10)
+    before = write_arrivals(deployment)
+    caller.request("POST", "/write/x", headers={"Host": "h", "X-Request-Id": "cut-1",
+                                                "Content-Length": "0"})
+    wait_until(lambda: write_arrivals(deployment) == before + 1, "the write is at its upstream")
+    begin_stop(gateway)
+    assert gateway["process"].wait() == 3
+    lines = [each for each in gateway["process"].log.read_text(errors="replace").splitlines()
+             if "request is cut by the end of the process" in each]
+    assert len(lines) == 1 and "request=cut-1 " in lines[0] and "stage=at-upstream" in lines[0], \
+        f"the log names the cut request: {lines}"
+    set_writes(deployment, "heal")
+    deployment.apply()
+    deployment.gateways.remove(gateway)
+
+
 def main():
     with GatewayDeployment(sys.argv[1]) as deployment:
         for check in (check_requests_reach_upstreams_of_their_route,
@@ -511,6 +535,7 @@
                       check_stopping_gateway_passes_on_no_write_that_it_may_have_to_cut,
                       check_stopping_gateway_ends_only_after_its_answers_are_sent,
                       check_stopping_gateway_refuses_requests_until_it_ends,
+                      check_stopping_gateway_logs_the_requests_that_it_cuts,
                       check_look_ups_drop_a_killed_gateway,
                       check_planned_stop_completes_requests_under_way):
             started_at = time.monotonic()
--- a/tests/unit/planned_stop_test.cpp
+++ b/tests/unit/planned_stop_test.cpp
@@ -121,3 +121,27 @@
     check_refused_as_not_run(submit("/read/x", ms(100)));
     CHECK(find_command<send_request>(end_send(1, send_result::shed)) != nullptr);
 }
+
+TEST(planned_stop, requests_that_the_end_cuts_are_listed_from_the_oldest_without_answered_ones)
+{
+    start(1);
+    occupy_upstream("/read/x", ms(100));
+    now += ms(10);
+    CHECK(submit("/read/waits").empty());
+    now += ms(10);
+    auto const listed = engine->oldest_requests_under_way(20, now);
+    LONGS_EQUAL(2, listed.size());
+    LONGS_EQUAL(1, listed[0].id.get());
+    CHECK(listed[0].at_upstream);
+    STRCMP_EQUAL("u1", listed[0].upstream.get().c_str());
+    CHECK(listed[0].age == ms(20));
+    CHECK(listed[0].time_left == ms(80));
+    LONGS_EQUAL(2, listed[1].id.get());
+    CHECK(!listed[1].at_upstream);
+    LONGS_EQUAL(1, engine->oldest_requests_under_way(1, now).size());
+
+    CHECK(find_command<refuse_request>(advance_time(ms(80))) != nullptr);
+    auto const left = engine->oldest_requests_under_way(20, now);
+    LONGS_EQUAL(1, left.size());
+    LONGS_EQUAL(2, left[0].id.get());
+}
