--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -71,7 +71,7 @@
 
 forwarding_engine::forwarding_engine(forwarding_options options, random_source& random)
     : options_(std::move(options)), random_(random), admission_(options_.admission, random),
-      region_share_(options_.region_shift_limits),
+      stop_admission_(options_.stop_admission), region_share_(options_.region_shift_limits),
       place_round_trip_(options_.default_place_round_trip)
 {}
 
@@ -88,6 +88,27 @@
     return service_names;
 }
 
+std::vector<request_under_way>
+forwarding_engine::oldest_requests_under_way(std::size_t max_requests, time_point now) const
+{
+    std::vector<request_under_way> found;
+    for (auto const& [id, request] : requests_) {
+        if (request.discards_answer)
+            continue;
+        found.push_back({.id = id,
+                         .caller_id = request.arrival.caller_id,
+                         .route = request.matched_route->name,
+                         .at_upstream = request.at_upstream,
+                         .upstream = request.upstream,
+                         .age = now - request.arrived,
+                         .time_left = request.deadline - now});
+    }
+    std::sort(found.begin(), found.end(),
+              [](auto const& left, auto const& right) { return left.age > right.age; });
+    found.resize(std::min(found.size(), max_requests));
+    return found;
+}
+
 std::vector<service_times> forwarding_engine::median_service_times() const
 {
     std::vector<service_times> times;
@@ -200,6 +221,23 @@
     return out;
 }
 
+forwarding_engine::commands forwarding_engine::begin_stop(time_point process_end, time_point now)
+{
+    commands out;
+    stop_admission_.begin(process_end);
+    for (auto& [service, waiting] : waiting_requests_) {
+        auto const waiting_before = waiting;
+        for (request_id const id : waiting_before) {
+            pending_request& request = requests_.at(id);
+            if (stop_admission_.may_send(request.deadline))
+                continue;
+            std::erase(waiting, id);
+            end_with_refusal(request, refusal::stopping, now, out);
+        }
+    }
+    return out;
+}
+
 forwarding_engine::commands forwarding_engine::submit(request_arrival arrival, time_point now)
 {
     commands out;
@@ -221,6 +259,10 @@
         return out;
     }
     request.deadline = std::min(request.deadline, now + request.matched_route->timeout);
+    if (!stop_admission_.may_take(request.deadline)) {
+        end_with_refusal(request, refusal::stopping, now, out);
+        return out;
+    }
     request.service = service_splits_.next_service(*request.matched_route);
     service_pool& pool = pools_[request.service];
     pool.retry_budget.record_request(now, options_.retry_budget.window);
--- a/libraries/http1/server.hpp
+++ b/libraries/http1/server.hpp
@@ -51,7 +51,6 @@
     idle,             ///< It carried no request for longer than the idle timeout.
     answered,         ///< After the last answer, as that answer's Connection header told.
     unreadable,       ///< The caller sent something that is not an acceptable request.
-    stopping,         ///< This server stopped while no request was under way.
     aborted           ///< This server gave it up.
 };
 
@@ -120,9 +119,12 @@
     void set_limits(server_limits const& limits);
     /// Closes each connection after an answer with no further request pending.
     void close_after_answers();
-    /// Accepts no further connections and closes those without a request under way.
+    /// Accepts no further connections. Requests on the open ones are still passed to the handler.
     void stop_accepting();
     std::size_t open_connections() const;
+    /// Bytes of answers that the operating system hasn't taken over yet, including those of
+    /// connections that are closing.
+    std::size_t unsent_bytes() const;
     server_counters const& counters() const;
 
 private:
--- a/libraries/http1/server_connection.cpp
+++ b/libraries/http1/server_connection.cpp
@@ -163,12 +163,6 @@
     end_connection(connection_end::aborted);
 }
 
-void server_connection::close_if_idle()
-{
-    if (is_idle())
-        end_connection(connection_end::stopping);
-}
-
 bool server_connection::is_idle() const
 {
     return unanswered_exchanges_.empty() && !reader_.is_inside_message() &&
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -1,6 +1,7 @@
 """Runs three gateways as processes against the site stand-in, which simulates the platform's store
 and the upstreams. Checks routing, leaving upstreams, store faults, reloads, kills and stops."""
 import http.client
+import io
 import json
 import pathlib
 import signal
@@ -98,19 +99,19 @@
     def state(self):
         return json.loads(http_call("GET", f"{self.control}/control/state")[2])
 
-    def apply(self, reads_prefix="/read/"):
+    def apply(self, reads_prefix="/read/", write_timeout_ms=3000):
         self.version += 3
-        def rule(prefix, kind, service):
+        def rule(prefix, kind, service, timeout_ms=3000):
             return {"name": prefix, "kind": kind, "targetLatencyMs": 1000, "priority": 1,
                     "affinity": True, "match": {"prefix": prefix},
-                    "action": {"service": service, "timeoutMs": 3000, "maxAttempts": 2,
+                    "action": {"service": service, "timeoutMs": timeout_ms, "maxAttempts": 2,
                                "homeRegions": []}}
         document = {"version": f"r{self.version}",
                     "limits": {"headerBytes": 16384, "maxBodyBytes": 100000,
                                "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
                     "listeners": [{"host": "h", "rules": [
                         rule(reads_prefix, "idempotent", "reads"),
-                        rule("/write/", "non_idempotent", "writes")]}],
+                        rule("/write/", "non_idempotent", "writes", write_timeout_ms)]}],
                     "clusters": [{"name": name, "healthPath": "/health", "maxConns": 100,
                                   "coldStartS": 0.2, "coldPerS": 100}
                                  for name in ("reads", "writes")]}
@@ -386,6 +387,138 @@
     assert gateway["process"].wait() == 0
 
 
+def http_answer(connection, path, request_id, method="GET"):
+    """Sends a request on a connection and returns the status and the headers of the answer."""
+    headers = {"Host": "h", "X-Request-Id": request_id, "Content-Length": "0"}
+    connection.request(method, path, headers=headers)
+    answer = connection.getresponse()
+    answer.read()
+    return answer.status, {name.lower(): value for name, value in answer.getheaders()}
+
+
+def begin_stop(gateway):
+    gateway["process"].signal(signal.SIGTERM)
+    wait_until(lambda: "stop begun" in gateway["process"].log.read_text(errors="replace"),
+               "the stop has begun")
+
+
+def start_further_gateway(deployment):
+    gateway = deployment.start_gateway(len(deployment.gateways))
+    wait_until(lambda: deployment.ready(gateway), "the further gateway is ready")
+    return gateway
+
+
+def set_writes(deployment, change):
+    """Changes the behaviour of both upstreams of the service of writes."""
+    for name in ("w1", "w2"):
+        deployment.post_control("change", name=name, change=change)
+
+
+def write_arrivals(deployment):
+    arrivals = deployment.state()["arrivals"]
+    return arrivals["w1"] + arrivals["w2"]
+
+
+def check_stopping_gateway_passes_on_no_write_that_it_may_have_to_cut(deployment):
+    """The write comes 0.9 s after SIGTERM and may take until its route's timeout of 3 s; the process
+    ends 3.75 s after SIGTERM."""
+    gateway = start_further_gateway(deployment)
+    set_writes(deployment, "stuck")
+    before = write_arrivals(deployment)
+    caller = http.client.HTTPConnection("127.0.0.1", gateway["callers"], timeout=10)
+    caller.connect()
+    begin_stop(gateway)
+    time.sleep(0.9)
+    try:
+        status, headers = http_answer(caller, "/write/late", "late", "POST")
+    except (http.client.HTTPException, OSError) as problem:
+        raise AssertionError(f"a write was cut at the end of the stop: {problem!r}") from problem
+    assert status == 503, status
+    assert headers["connection"] == "close" and float(headers["retry-after"]) <= 0.1, headers
+    assert write_arrivals(deployment) == before, "the refused write was passed on"
+    set_writes(deployment, "heal")
+    assert gateway["process"].wait() == 0
+    deployment.gateways.remove(gateway)
+
+
+def check_stopping_gateway_ends_only_after_its_answers_are_sent(deployment):
+    """The caller begins to read after the callers' grace period of 1.4 s."""
+    gateway = start_further_gateway(deployment)
+    set_writes(deployment, "large")
+    answered = metric(gateway, "requests_answered_total")
+    with socket.create_connection(("127.0.0.1", gateway["callers"]), 5) as caller:
+        caller.sendall(b"POST /write/large HTTP/1.1\r\nHost: h\r\nX-Request-Id: large\r\n"
+                       b"Content-Length: 0\r\n\r\n")
+        wait_until(lambda: metric(gateway, "requests_answered_total") > answered,
+                   "the upstream has answered")
+        set_writes(deployment, "heal")
+        begin_stop(gateway)
+        time.sleep(2.0)
+        received = b""
+        try:
+            while chunk := caller.recv(1 << 20):
+                received += chunk
+        except OSError as problem:
+            print(f"the connection ended with {problem!r}")
+    head, _, body = received.partition(b"\r\n\r\n")
+    length = int(http.client.parse_headers(io.BytesIO(head.partition(b"\r\n")[2]))["content-length"])
+    assert len(body) == length, f"the answer was cut: {len(body)} of {length} bytes arrived"
+    assert gateway["process"].wait() == 0
+    deployment.gateways.remove(gateway)
+
+
+def check_stopping_gateway_refuses_requests_until_it_ends(deployment):
+    """A write under way keeps the entry running beyond the callers' grace period of 1.4 s."""
+    gateway = start_further_gateway(deployment)
+    set_writes(deployment, "stuck")
+    kept = http.client.HTTPConnection("127.0.0.1", gateway["callers"], timeout=10)
+    assert http_answer(kept, "/read/x", "kept1")[0] == 200
+    statuses = []
+    writer = threading.Thread(target=lambda: statuses.append(
+        deployment.call(gateway, "/write/x", "under-way", "POST", b"x")[0]))
+    before = write_arrivals(deployment)
+    writer.start()
+    wait_until(lambda: write_arrivals(deployment) == before + 1, "the write is at its upstream")
+    begin_stop(gateway)
+    time.sleep(1.7)
+    new = http.client.HTTPConnection("127.0.0.1", gateway["callers"], timeout=10)
+    for name, connection in (("kept", kept), ("new", new)):
+        try:
+            status, headers = http_answer(connection, "/read/x", f"{name}2")
+        except (http.client.HTTPException, OSError) as problem:
+            raise AssertionError(f"{name} connection got no answer: {problem!r}") from problem
+        assert (status, headers["connection"]) == (503, "close"), (name, status, headers)
+    writer.join()
+    assert statuses == [504], statuses
+    set_writes(deployment, "heal")
+    assert gateway["process"].wait() == 0
+    deployment.gateways.remove(gateway)
+
+
+def check_stopping_gateway_logs_the_requests_that_it_cuts(deployment):
+    """Without a deadline and with a long timeout, a write may last longer than the stop."""
+    gateway = start_further_gateway(deployment)
+    set_writes(deployment, "stuck")
+    deployment.apply(write_timeout_ms=20000)
+    version = deployment.version
+    wait_until(lambda: metric(gateway, "configuration_version") == version,
+               "the gateway has the new timeout")
+    caller = http.client.HTTPConnection("127.0.0.1", gateway["callers"], timeout=10)
+    before = write_arrivals(deployment)
+    caller.request("POST", "/write/x", headers={"Host": "h", "X-Request-Id": "cut-1",
+                                                "Content-Length": "0"})
+    wait_until(lambda: write_arrivals(deployment) == before + 1, "the write is at its upstream")
+    begin_stop(gateway)
+    assert gateway["process"].wait() == 3
+    lines = [each for each in gateway["process"].log.read_text(errors="replace").splitlines()
+             if "request is cut by the end of the process" in each]
+    assert len(lines) == 1 and "request=cut-1 " in lines[0] and "stage=at-upstream" in lines[0], \
+        f"the log names the cut request: {lines}"
+    set_writes(deployment, "heal")
+    deployment.apply()
+    deployment.gateways.remove(gateway)
+
+
 def main():
     with GatewayDeployment(sys.argv[1]) as deployment:
         for check in (check_requests_reach_upstreams_of_their_route,
@@ -399,6 +532,10 @@
                       check_requests_are_served_during_store_faults,
                       check_one_gateway_calls_the_store_at_most_a_third_as_often,
                       check_invalid_settings_are_ignored_on_reload,
+                      check_stopping_gateway_passes_on_no_write_that_it_may_have_to_cut,
+                      check_stopping_gateway_ends_only_after_its_answers_are_sent,
+                      check_stopping_gateway_refuses_requests_until_it_ends,
+                      check_stopping_gateway_logs_the_requests_that_it_cuts,
                       check_look_ups_drop_a_killed_gateway,
                       check_planned_stop_completes_requests_under_way):
             started_at = time.monotonic()
