--- a/libraries/http1/server.hpp
+++ b/libraries/http1/server.hpp
@@ -7,6 +7,8 @@
 #include "libraries/http1/message_reader.hpp"
 #include "libraries/net/event_loop.hpp"
 
+#include <array>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -41,6 +43,31 @@
     std::string body;
 };
 
+/// Why a caller's connection ended.
+enum class connection_end
+{
+    closed_by_caller, ///< The caller closed its side.
+    reset,            ///< The caller or the network reset it, or it timed out.
+    idle,             ///< It carried no request for longer than the idle timeout.
+    answered,         ///< After the last answer, as that answer's Connection header told.
+    unreadable,       ///< The caller sent something that is not an acceptable request.
+    aborted           ///< This server gave it up.
+};
+
+constexpr std::size_t connection_end_count = static_cast<std::size_t>(connection_end::aborted) + 1;
+/// The name of a connection's end in logs and metrics, such as "closed-by-caller".
+char const* name_of(connection_end end);
+
+/// Totals since the start, for metrics.
+struct server_counters
+{
+    std::uint64_t accepted = 0;                                   ///< Connections accepted.
+    std::array<std::uint64_t, connection_end_count> ends{};       ///< Ended connections by reason.
+    std::array<std::uint64_t, connection_end_count> unanswered{}; ///< Their unanswered requests.
+    /// Reads that returned bytes after this server had ended the connection.
+    std::array<std::uint64_t, connection_end_count> reads_after_end{};
+};
+
 class server_connection;
 
 /// One request and its pending answer. It may outlive its connection.
@@ -58,7 +85,10 @@
     /// Closes the caller's connection without an answer to this request.
     void abort();
     /// Sets a handler that is called if the connection ends before `reply`.
-    void on_disconnect(std::function<void()> handler) { disconnect_handler_ = std::move(handler); }
+    void on_disconnect(std::function<void(connection_end)> handler)
+    {
+        disconnect_handler_ = std::move(handler);
+    }
     bool is_disconnected() const { return connection_ == nullptr; }
 
 private:
@@ -68,7 +98,7 @@
     server_connection* connection_;
     server_request request_;
     std::optional<server_answer> answer_;
-    std::function<void()> disconnect_handler_;
+    std::function<void(connection_end)> disconnect_handler_;
 };
 
 /// Listens on one address and passes each request to a handler.
@@ -84,15 +114,18 @@
 
     /// Binds the address and listens. Fails with `invalid_input` if it can't be bound.
     result<address> try_listen(address const& at, request_handler handler);
-    /// Sets the limits of connections accepted from now on.
-    void set_limits(server_limits limits);
+    /// Sets the limits, also of open connections. A lower idle timeout holds for a connection from
+    /// its next answer on: until then its caller may rely on the longer one.
+    void set_limits(server_limits const& limits);
     /// Closes each connection after an answer with no further request pending.
     void close_after_answers();
-    /// Accepts no further connections and closes those without a request under way.
+    /// Accepts no further connections. Requests on the open ones are still passed to the handler.
     void stop_accepting();
     std::size_t open_connections() const;
-    /// Number of connections accepted since the start.
-    std::uint64_t accepted() const;
+    /// Bytes of answers that the operating system hasn't taken over yet, including those of
+    /// connections that are closing.
+    std::size_t unsent_bytes() const;
+    server_counters const& counters() const;
 
 private:
     friend class server_connection;
--- a/libraries/http1/server_connection.cpp
+++ b/libraries/http1/server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -21,17 +22,25 @@
     return status >= 200 && status != 204 && status != 304;
 }
 
+/// True if an answer that tells the caller of the close may still be on its way. A reset would
+/// destroy it.
+bool has_just_answered(connection_end end)
+{
+    return end == connection_end::answered || end == connection_end::unreadable;
+}
+
 } // namespace
 
 server_connection::server_connection(event_loop& loop, clock_source const& clock,
                                      server_limits const& limits, owner& connection_owner)
     : clock_(clock), limits_(limits), owner_(connection_owner), socket_(loop, *this),
-      reader_(message_kind::requests, limits.max_head_bytes, *this), last_activity_at_(clock.now())
+      reader_(message_kind::requests, limits.max_head_bytes, *this), last_activity_at_(clock.now()),
+      idle_timeout_at_answer_(limits.idle_timeout)
 {}
 
 server_connection::~server_connection()
 {
-    end_connection(false);
+    end_connection(connection_end::aborted);
 }
 
 bool server_connection::accept(uv_stream_t* listening_handle)
@@ -39,6 +48,12 @@
     return socket_.accept(listening_handle, unacknowledged_timeout);
 }
 
+void server_connection::set_limits(server_limits const& limits)
+{
+    limits_ = limits;
+    reader_.set_max_head_bytes(limits.max_head_bytes);
+}
+
 void server_connection::on_head(message_head head)
 {
     partial_request_ = {.head = std::move(head), .body = {}};
@@ -99,9 +114,10 @@
     reader_.stop();
 }
 
-void server_connection::on_stream_end(stream_end /*end*/)
+void server_connection::on_stream_end(stream_end end)
 {
-    end_connection(false);
+    end_connection(end == stream_end::closed ? connection_end::closed_by_caller
+                                             : connection_end::reset);
 }
 
 void server_connection::write_ready_answers()
@@ -116,14 +132,15 @@
         write_answer(*answered_exchange, closes_connection);
         answered_exchange->connection_ = nullptr;
         last_activity_at_ = clock_.now();
+        idle_timeout_at_answer_ = limits_.idle_timeout;
         if (closes_connection)
-            end_connection(true);
+            end_connection(connection_end::answered);
     }
     if (connection_ended_ || error_status_ == 0 || !unanswered_exchanges_.empty())
         return;
     socket_.write(fmt::format("HTTP/1.1 {} {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
                               error_status_, reason_phrase(error_status_)));
-    end_connection(true);
+    end_connection(connection_end::unreadable);
 }
 
 void server_connection::write_answer(exchange& ready_exchange, bool closes_connection)
@@ -143,13 +160,13 @@
 
 void server_connection::abort()
 {
-    end_connection(false);
+    end_connection(connection_end::aborted);
 }
 
-void server_connection::close_if_idle()
+bool server_connection::is_idle() const
 {
-    if (unanswered_exchanges_.empty() && !reader_.is_inside_message())
-        end_connection(true);
+    return unanswered_exchanges_.empty() && !reader_.is_inside_message() &&
+           socket_.unsent_bytes() == 0 && !socket_.has_unread_input();
 }
 
 void server_connection::check_time_limits(time_point now)
@@ -165,25 +182,28 @@
         }
         return;
     }
-    if (unanswered_exchanges_.empty() && now - last_activity_at_ > limits_.idle_timeout)
-        end_connection(true);
+    duration const idle_timeout = std::max(limits_.idle_timeout, idle_timeout_at_answer_);
+    if (now - last_activity_at_ > idle_timeout && is_idle())
+        end_connection(connection_end::idle);
 }
 
-void server_connection::end_connection(bool gracefully)
+void server_connection::end_connection(connection_end end)
 {
     if (std::exchange(connection_ended_, true))
         return;
-    if (gracefully)
-        socket_.close_gracefully();
+    if (has_just_answered(end))
+        socket_.close_gracefully(owner_.reader_after_end(end));
+    else
+        socket_.close();
     reader_.stop();
     auto const unanswered = std::exchange(unanswered_exchanges_, {});
     for (auto const& each : unanswered)
         each->connection_ = nullptr;
     for (auto const& each : unanswered) {
         if (each->disconnect_handler_ && !each->answer_)
-            std::exchange(each->disconnect_handler_, nullptr)();
+            std::exchange(each->disconnect_handler_, nullptr)(end);
     }
-    owner_.on_connection_closed(*this);
+    owner_.on_connection_closed(*this, end, unanswered.size());
 }
 
 void exchange::reply(server_answer answer)
--- a/libraries/http1/server_connection.hpp
+++ b/libraries/http1/server_connection.hpp
@@ -18,7 +18,11 @@
         virtual ~owner() = default;
         virtual void on_request(std::shared_ptr<exchange> each) = 0;
         /// Called when the connection has ended. The owner must destroy it later, from the loop.
-        virtual void on_connection_closed(server_connection& connection) = 0;
+        virtual void on_connection_closed(server_connection& connection, connection_end end,
+                                          std::size_t unanswered_requests) = 0;
+        /// Returns a handler of the sizes of the reads after this server has ended a connection. It
+        /// may outlive the owner.
+        virtual std::function<void(std::size_t)> reader_after_end(connection_end end) = 0;
     };
 
     server_connection(event_loop& loop, clock_source const& clock, server_limits const& limits,
@@ -28,12 +32,13 @@
     server_connection& operator=(server_connection const&) = delete;
 
     bool accept(uv_stream_t* listening_handle);
+    void set_limits(server_limits const& limits);
     /// Writes the answers that are ready and have no unanswered request before them.
     void write_ready_answers();
     void abort();
     void close_after_answers() { closing_after_answers_ = true; }
-    /// Closes the connection if it has no request under way.
-    void close_if_idle();
+    /// True if no request is under way here or has arrived unread, and all answers are sent.
+    bool is_idle() const;
     /// Answers 408 to a request that is received too slowly, and closes a connection that was idle
     /// for too long.
     void check_time_limits(time_point now);
@@ -47,7 +52,7 @@
 private:
     void write_answer(exchange& answered_exchange, bool closes_connection);
     void stop_reading_with_error(int status);
-    void end_connection(bool gracefully);
+    void end_connection(connection_end end);
 
     clock_source const& clock_;
     server_limits limits_;
@@ -57,6 +62,7 @@
     server_request partial_request_;
     std::deque<std::shared_ptr<exchange>> unanswered_exchanges_;
     time_point last_activity_at_;
+    duration idle_timeout_at_answer_; ///< Limit when the last answer was written.
     time_point message_started_at_;
     int error_status_ = 0; ///< Set once reading has failed; sent after the other answers.
     bool closing_after_answers_ = false;
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -15,10 +15,10 @@
 /// After the process was suspended, requests wait for the registry to be read again, but no longer
 /// than this.
 constexpr duration max_suspension = std::chrono::milliseconds(1'500);
-/// Retry-After of requests that are refused during a planned stop.
-constexpr duration stopping_retry_delay = std::chrono::milliseconds(50);
 /// Incomplete answers may take this part of the process's memory.
 constexpr std::size_t answer_buffer_divisor = 4;
+/// At most this many requests that are cut by the end of the process get a line in the log.
+constexpr std::size_t max_logged_cut_requests = 20;
 constexpr int status_unavailable = 503;
 constexpr std::size_t max_request_body_bytes = std::size_t{64} * 1024 * 1024;
 
@@ -79,15 +79,12 @@
 
 void requests_task::handle_request(std::shared_ptr<http1::exchange> http_exchange)
 {
-    if (refuses_requests_) {
-        http_exchange->reply(dialect_.gateway_answer(http_exchange->request().head,
-                                                     status_unavailable, stopping_retry_delay));
-        return;
-    }
     request_arrival arrival = dialect_.read_request(http_exchange->request().head);
     request_id const id(++last_request_number_);
     arrival.id = id;
-    http_exchange->on_disconnect([this, id] {
+    time_point const arrived_at = context_.clock.now();
+    http_exchange->on_disconnect([this, id, arrived_at](http1::connection_end end) {
+        log_unanswered(id, arrived_at, end);
         exchanges_.erase(id);
         execute(engine_.handle_caller_disconnect(id, context_.clock.now()));
     });
@@ -208,6 +205,18 @@
     log_request_end(command.id, name_of(command.reason), command.status);
 }
 
+void requests_task::log_unanswered(request_id id, time_point arrived_at, http1::connection_end end)
+{
+    auto const found = exchanges_.find(id);
+    if (found == exchanges_.end())
+        return;
+    log_.info("request left unanswered",
+              {field("request", dialect_.answer_id(found->second->request().head).value),
+               field("number", id.get()), field("connection", name_of(end)),
+               field("at_upstream", active_sends_.contains(id)),
+               field("total_us", (context_.clock.now() - arrived_at).count())});
+}
+
 void requests_task::log_request_end(request_id id, std::string_view outcome, int status)
 {
     request_summary const& summary = engine_.last_finished();
@@ -220,6 +229,22 @@
                field("configuration", summary.version.get())});
 }
 
+void requests_task::log_cut_requests()
+{
+    auto const requests =
+        engine_.oldest_requests_under_way(max_logged_cut_requests, context_.clock.now());
+    for (request_under_way const& each : requests) {
+        log_.warning("request is cut by the end of the process",
+                     {field("request", each.caller_id), field("number", each.id.get()),
+                      field("stage", each.at_upstream ? "at-upstream" : "waiting"),
+                      field("route", each.route), field("upstream", each.upstream.get()),
+                      field("age_us", each.age.count()),
+                      field("time_left_us", each.time_left.count())});
+    }
+    if (std::size_t const unsent_bytes = caller_server_.unsent_bytes(); unsent_bytes > 0)
+        log_.warning("answers are cut by the end of the process", {field("bytes", unsent_bytes)});
+}
+
 void requests_task::execute(probe_upstream const& command)
 {
     http1::call_options call{.to = command.to,
@@ -387,13 +412,16 @@
     else if (std::holds_alternative<process_resumed>(new_event)) {
         engine_.suspend(now + max_suspension);
     }
-    else if (std::holds_alternative<stop_begun>(new_event)) {
-        stopping_ = true;
+    else if (auto const* const stop = std::get_if<stop_begun>(&new_event)) {
         caller_server_.close_after_answers();
+        execute(engine_.begin_stop(stop->process_end, now));
     }
     else if (std::holds_alternative<caller_grace_period_ended>(new_event)) {
-        refuses_requests_ = true;
+        engine_.refuse_new_requests();
+    }
+    else if (std::holds_alternative<process_ending>(new_event)) {
         caller_server_.stop_accepting();
+        log_cut_requests();
     }
 }
 
@@ -435,6 +463,17 @@
     write_metric("upstream_answers_dropped_for_memory_total",
                  connections.answers_dropped_for_memory);
     write_metric("caller_connections", caller_server_.open_connections());
+    http1::server_counters const& callers = caller_server_.counters();
+    write_metric("caller_connections_accepted_total", callers.accepted);
+    for (std::size_t i = 0; i < http1::connection_end_count; ++i) {
+        char const* const end = name_of(static_cast<http1::connection_end>(i));
+        write_metric(fmt::format("caller_connections_ended_total{{end=\"{}\"}}", end),
+                     callers.ends[i]);
+        write_metric(fmt::format("caller_requests_unanswered_total{{end=\"{}\"}}", end),
+                     callers.unanswered[i]);
+        write_metric(fmt::format("caller_reads_after_end_total{{end=\"{}\"}}", end),
+                     callers.reads_after_end[i]);
+    }
     for (service_times const& each : engine_.median_service_times()) {
         auto const write_median = [&](std::string_view object, duration median) {
             write_metric(fmt::format("service_time_us{{service=\"{}\",object=\"{}\"}}",
--- a/services/burdockstep_gateway/requests/requests_task.hpp
+++ b/services/burdockstep_gateway/requests/requests_task.hpp
@@ -27,7 +27,11 @@
     std::string_view name() const override { return "requests"; }
     result<void> try_start() override;
     void receive(event const& new_event) override;
-    bool is_idle() const override { return exchanges_.empty(); }
+    /// True when all requests have ended and their answers have been sent.
+    bool is_idle() const override
+    {
+        return exchanges_.empty() && caller_server_.unsent_bytes() == 0;
+    }
     void write_metrics(std::string& out) const override;
 
 private:
@@ -54,6 +58,9 @@
     void report_all_counts(bool to_own_region);
     wire::slot_report make_slot_report(std::vector<wire::upstream_request_count> counts,
                                        bool is_full_report);
+    void log_unanswered(request_id id, time_point arrived_at, http1::connection_end end);
+    /// Logs the requests and answers that the end of the process cuts.
+    void log_cut_requests();
     void log_request_end(request_id id, std::string_view outcome, int status);
     void apply_routing_document(routing_document_applied const& applied_document);
 
@@ -81,8 +88,6 @@
     std::uint64_t last_request_number_ = 0;
     std::uint64_t last_report_number_ = 0;
     unsigned maintenance_runs_ = 0;
-    bool stopping_ = false;
-    bool refuses_requests_ = false; ///< New requests are refused near the end of a planned stop.
     latency_histogram request_latencies_;
     latency_histogram hold_times_; ///< Of all requests, from arrival to the first send or the end.
     /// Mean age of the slot reports, sampled at each run of the maintenance timer.
--- a/tests/unit/http1_server_test.cpp
+++ b/tests/unit/http1_server_test.cpp
@@ -3,6 +3,11 @@
 #include "tests/fakes/harness.hpp"
 #include "tests/fakes/raw_sockets.hpp"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <thread>
@@ -11,6 +16,31 @@
 using namespace burdockstep;
 using namespace burdockstep::testing;
 
+namespace {
+
+constexpr std::string_view small_request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// Reads until an answer with the body "ran" has arrived; returns false if the connection ends.
+bool receive_answer(int connection)
+{
+    std::string received;
+    std::array<char, 4096> buffer{};
+    while (!received.ends_with("ran")) {
+        ssize_t const size = read(connection, buffer.data(), buffer.size());
+        if (size <= 0)
+            return false;
+        received.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+    return true;
+}
+
+void answer_ran(http1::exchange& each)
+{
+    each.reply({.status = 200, .headers = {}, .body = "ran"});
+}
+
+} // namespace
+
 TEST_GROUP(http1_server)
 {
     event_loop loop;
@@ -18,6 +48,7 @@
     std::unique_ptr<http1::server> server = std::make_unique<http1::server>(
         loop, clock, http1::server_limits{.max_head_bytes = 1'024, .max_body_bytes = 64});
     std::vector<std::shared_ptr<http1::exchange>> received_exchanges;
+    timer limits_change{loop};
     address at;
 
     /// Starts listening. Each request is appended to `received_exchanges` and passed to `handler`.
@@ -50,6 +81,45 @@
         return answer;
     }
 
+    /// Runs the loop until the thread has ended.
+    void run_loop_while(std::function<void()> const& caller_action)
+    {
+        std::atomic<bool> done = false;
+        std::thread caller([&] {
+            caller_action();
+            done = true;
+        });
+        timer poll(loop);
+        poll.start_periodic(ms(5), [&] {
+            if (done)
+                loop.stop();
+        });
+        loop.run();
+        caller.join();
+    }
+
+    /// Closed connections that this server ended for this reason.
+    std::uint64_t ended(http1::connection_end end) const
+    {
+        return server->counters().ends[static_cast<std::size_t>(end)];
+    }
+
+    void set_idle_timeout(duration idle_timeout)
+    {
+        server->set_limits({.idle_timeout = idle_timeout});
+    }
+
+    /// Listens, answers all requests and sets other limits shortly after the first answer.
+    void listen_and_change_limits(http1::server_limits const& new_limits)
+    {
+        listen([this, new_limits](http1::exchange& each) {
+            answer_ran(each);
+            if (received_exchanges.size() == 1)
+                limits_change.start_once(ms(20),
+                                         [this, new_limits] { server->set_limits(new_limits); });
+        });
+    }
+
     void teardown() override
     {
         received_exchanges.clear();
@@ -76,6 +146,35 @@
     CHECK(answers.find("still open") == std::string::npos);
 }
 
+TEST(http1_server, answer_counts_as_unsent_until_a_slow_caller_of_a_closing_connection_has_it)
+{
+    constexpr std::size_t body_bytes = std::size_t{32} * 1024 * 1024;
+    listen([](http1::exchange& each) {
+        each.reply({.status = 200, .headers = {}, .body = std::string(body_bytes, 'x')});
+    });
+    server->close_after_answers();
+    int const connection = connect_and_send(at, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    timer poll(loop);
+    poll.start_periodic(ms(5), [&] {
+        if (!received_exchanges.empty() && server->open_connections() == 0)
+            loop.stop();
+    });
+    loop.run();
+    CHECK(server->unsent_bytes() > 0);
+
+    std::string answer;
+    std::thread caller([&] { answer = read_until_close(connection); });
+    poll.start_periodic(ms(5), [&] {
+        if (server->unsent_bytes() == 0)
+            loop.stop();
+    });
+    loop.run();
+    // The operating system sends what it has taken over, although the loop no longer runs.
+    caller.join();
+    CHECK(answer.size() > body_bytes);
+    CHECK(answer.find("still open") == std::string::npos);
+}
+
 TEST(http1_server, connection_closes_only_after_all_read_requests_are_answered)
 {
     listen([this](http1::exchange&) {
@@ -140,7 +239,7 @@
 {
     bool disconnected = false;
     listen([&disconnected](http1::exchange& each) {
-        each.on_disconnect([&disconnected] { disconnected = true; });
+        each.on_disconnect([&disconnected](http1::connection_end) { disconnected = true; });
     });
     // Never answered: the caller closes the connection after its receive timeout.
     send_and_run_loop("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -168,3 +267,103 @@
     LONGS_EQUAL(2, received_exchanges.size());
     CHECK(answers.find("still open") == std::string::npos);
 }
+
+TEST(http1_server, request_that_has_arrived_when_the_idle_timeout_expires_is_answered)
+{
+    set_idle_timeout(ms(100));
+    std::atomic<bool> loop_is_late = false;
+    listen([&](http1::exchange& each) {
+        if (each.request().head.target == "/slow") {
+            loop_is_late = true;
+            std::this_thread::sleep_for(ms(700));
+        }
+        answer_ran(each);
+    });
+    bool second_answered = false;
+    run_loop_while([&] {
+        int const connection = connect_and_send(at, std::string(small_request));
+        receive_answer(connection);
+        int const other = connect_and_send(at, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n");
+        while (!loop_is_late)
+            std::this_thread::yield();
+        send_all(connection, small_request);
+        second_answered = receive_answer(connection);
+        close(connection);
+        close(other);
+    });
+    CHECK(second_answered);
+}
+
+TEST(http1_server, request_that_crosses_the_close_of_an_idle_connection_is_not_read)
+{
+    set_idle_timeout(ms(100));
+    listen(answer_ran);
+    bool connection_was_reset = false;
+    run_loop_while([&] {
+        int const connection = connect_and_send(at, std::string(small_request));
+        receive_answer(connection);
+        char byte = 0;
+        recv(connection, &byte, sizeof byte, MSG_PEEK); // Until the server closes.
+        send_all(connection, small_request);
+        std::this_thread::sleep_for(ms(50));
+        // A reset tells the caller that nobody has read its request.
+        connection_was_reset = !send_all(connection, small_request);
+        close(connection);
+    });
+    CHECK(connection_was_reset);
+    LONGS_EQUAL(1, ended(http1::connection_end::idle));
+    LONGS_EQUAL(
+        0,
+        server->counters().reads_after_end[static_cast<std::size_t>(http1::connection_end::idle)]);
+}
+
+TEST(http1_server, raised_idle_timeout_holds_for_connections_that_are_open)
+{
+    set_idle_timeout(ms(100));
+    listen_and_change_limits({.idle_timeout = std::chrono::seconds(10)});
+    bool second_answered = false;
+    run_loop_while([&] {
+        int const connection = connect_and_send(at, std::string(small_request));
+        receive_answer(connection);
+        std::this_thread::sleep_for(ms(1'200));
+        send_all(connection, small_request);
+        second_answered = receive_answer(connection);
+        close(connection);
+    });
+    CHECK(second_answered);
+}
+
+TEST(http1_server, lowered_idle_timeout_does_not_end_connections_last_used_under_the_longer_one)
+{
+    set_idle_timeout(std::chrono::seconds(10));
+    listen_and_change_limits({.idle_timeout = ms(100)});
+    bool second_answered = false;
+    std::string rest;
+    run_loop_while([&] {
+        int const connection = connect_and_send(at, std::string(small_request));
+        receive_answer(connection);
+        std::this_thread::sleep_for(ms(1'200));
+        send_all(connection, small_request);
+        second_answered = receive_answer(connection);
+        // From this answer on the lower one holds.
+        rest = read_until_close(connection);
+    });
+    CHECK(second_answered);
+    STRCMP_EQUAL("", rest.c_str());
+}
+
+TEST(http1_server, raised_head_limit_holds_for_connections_that_are_open)
+{
+    listen_and_change_limits({.max_head_bytes = 8'192});
+    bool second_answered = false;
+    run_loop_while([&] {
+        int const connection = connect_and_send(at, std::string(small_request));
+        receive_answer(connection);
+        std::this_thread::sleep_for(ms(100));
+        send_all(connection,
+                 "GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(2'000, 'x') + "\r\n\r\n");
+        second_answered = receive_answer(connection);
+        close(connection);
+    });
+    CHECK(second_answered);
+}
