gateway: as a stop ends, requests under way are answered, and those behind them

Cause: answers go out in the order of the requests of a connection. At the end of a planned stop the process ended with an earlier request of that connection still at its upstream; the ready answers behind it were dropped with it, seconds after they had come.

Class: the end of a process drops what it has accepted without a word.

Ruled out: the upstream (its run had ended well, 3.4 s and 7 s before); the way to the caller (the close came from the entry, 5.83 and 5.82 s after the SIGTERM).

Change: when the process ends, each request under way is answered: 502 where it may have run, 503 ("not run") where it was never sent. So the answers behind go out. The loop gets up to 150 ms instead of 50 ms for sending them, and the process still ends 100 ms before the stop limit.

--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -238,6 +238,20 @@
     return out;
 }
 
+forwarding_engine::commands forwarding_engine::end_all_requests(time_point now)
+{
+    commands out;
+    std::vector<request_id> unanswered;
+    for (auto const& [id, request] : requests_) {
+        if (!request.discards_answer)
+            unanswered.push_back(id);
+    }
+    waiting_requests_.clear();
+    for (request_id const id : unanswered)
+        end_with_refusal(requests_.at(id), refusal::stopping, now, out);
+    return out;
+}
+
 forwarding_engine::commands forwarding_engine::submit(request_arrival arrival, time_point now)
 {
     commands out;
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -141,6 +141,10 @@
     /// Refuses all new requests from now on, as the last part of a planned stop.
     void refuse_new_requests() { stop_admission_.refuse_new_requests(); }
 
+    /// Answers all requests under way as the process ends, so that answers that are ready behind
+    /// them on their connections get out too.
+    commands end_all_requests(time_point now);
+
     /// Takes a new request: sends, holds or refuses it.
     commands submit(request_arrival arrival, time_point now);
     commands handle_send_end(request_id id, send_end_report const& report, time_point now);
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -422,6 +422,7 @@
     else if (std::holds_alternative<process_ending>(new_event)) {
         caller_server_.stop_accepting();
         log_cut_requests();
+        execute(engine_.end_all_requests(now));
     }
 }
 
--- a/services/burdockstep_gateway/supervisor.cpp
+++ b/services/burdockstep_gateway/supervisor.cpp
@@ -31,7 +31,9 @@
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 /// Last part of the stop limit, in which requests under way may complete and new ones are refused.
 constexpr duration request_completion_time = std::chrono::milliseconds(2'600);
-/// The process exits this long before the stop limit.
+/// Longest time in which the last answers are sent before the process exits.
+constexpr duration answer_sending_time = std::chrono::milliseconds(150);
+/// The last answers are given this long before the stop limit.
 constexpr duration stop_limit_margin = std::chrono::milliseconds(250);
 
 duration time_since_boot()
@@ -232,7 +234,11 @@
     stop_timer_.stop();
     // Leaves the event loop time to send the answers that were just written, and to refuse requests
     // that arrive now.
-    stop_timer_.start_once(stop_check_interval, [this] { loop_.stop(); });
+    time_point const latest_end = context_.clock.now() + answer_sending_time;
+    stop_timer_.start_periodic(stop_check_interval, [this, latest_end] {
+        if (tasks_.is_idle() || context_.clock.now() >= latest_end)
+            loop_.stop();
+    });
 }
 
 } // namespace burdockstep::gateway
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -519,6 +519,32 @@
     deployment.gateways.remove(gateway)
 
 
+def check_answers_behind_a_cut_request_are_delivered_when_a_gateway_stops(deployment):
+    gateway = start_further_gateway(deployment)
+    set_writes(deployment, "stuck")
+    deployment.apply(write_timeout_ms=20000)
+    version = deployment.version
+    wait_until(lambda: metric(gateway, "configuration_version") == version,
+               "the gateway has the new timeout")
+    answered = metric(gateway, "requests_answered_total")
+    with socket.create_connection(("127.0.0.1", gateway["callers"]), 10) as caller:
+        caller.sendall(b"POST /write/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: head-1\r\n"
+                       b"Content-Length: 0\r\n\r\n"
+                       b"GET /read/behind HTTP/1.1\r\nHost: h\r\nX-Request-Id: behind-1\r\n\r\n")
+        wait_until(lambda: metric(gateway, "requests_answered_total") > answered,
+                   "the upstream has answered the second request")
+        begin_stop(gateway)
+        received = b""
+        while chunk := caller.recv(65536):
+            received += chunk
+    assert received.startswith(b"HTTP/1.1 502 "), f"the first request got: {received[:100]}"
+    assert received.endswith(b"/read/behind"), f"the second request got: {received[-100:]}"
+    assert gateway["process"].wait() == 3
+    set_writes(deployment, "heal")
+    deployment.apply()
+    deployment.gateways.remove(gateway)
+
+
 def main():
     with GatewayDeployment(sys.argv[1]) as deployment:
         for check in (check_requests_reach_upstreams_of_their_route,
@@ -536,6 +562,7 @@
                       check_stopping_gateway_ends_only_after_its_answers_are_sent,
                       check_stopping_gateway_refuses_requests_until_it_ends,
                       check_stopping_gateway_logs_the_requests_that_it_cuts,
+                      check_answers_behind_a_cut_request_are_delivered_when_a_gateway_stops,
                       check_look_ups_drop_a_killed_gateway,
                       check_planned_stop_completes_requests_under_way):
             started_at = time.monotonic()
--- a/tests/unit/planned_stop_test.cpp
+++ b/tests/unit/planned_stop_test.cpp
@@ -112,6 +112,21 @@
     CHECK(find_command<send_request>(ended)->time_left == ms(900));
 }
 
+TEST(planned_stop, requests_under_way_are_answered_as_the_process_ends)
+{
+    start(1);
+    occupy_upstream("/pay/x", ms(2'000));
+    CHECK(submit("/pay/y", ms(2'000)).empty());
+    auto const commands = engine->end_all_requests(now);
+    LONGS_EQUAL(2, commands.size());
+    for (forwarding_command const& each : commands) {
+        auto const& answer = std::get<refuse_request>(each);
+        LONGS_EQUAL(answer.id == request_id(1) ? 502 : 503, answer.status);
+    }
+    LONGS_EQUAL(0, engine->requests_under_way());
+    CHECK(end_send(1, send_result::answered, 200).empty());
+}
+
 TEST(planned_stop, last_part_of_the_stop_takes_nothing_new_but_ends_what_was_taken)
 {
     start(2);
