net: an exchange is in flight until its answer has been sent

What callers could see: the end of an answer cut when burdockstepd stops. Found by reading, not in a run of the daemon.

Cause: an exchange no longer counted as in flight once its last bytes were handed to h2o. A daemon that stops ends as soon as no exchange is in flight, and what h2o hadn't sent to a slow caller was lost.

Change: it counts until h2o ends the request, which it does after the last byte or with the connection.

Failed before (unit, 32 MiB in two parts): http_test.cpp:290: Failure in TEST(http, exchange_is_in_flight_until_a_slow_caller_has_the_end_of_its_answer) LONGS_EQUAL(1, server.exchanges_in_flight()) failed expected <1 (0x1)> but was <0 (0x0)> After: 275 unit tests and the process tests test_planned_stop, test_path and test_failures pass.

--- a/libraries/net/http_server.cpp
+++ b/libraries/net/http_server.cpp
@@ -171,8 +171,7 @@
     void release_request()
     {
         h2o_request_ = nullptr;
-        if (!std::exchange(removed_from_in_flight_count_, true))
-            --in_flight_;
+        --in_flight_;
         if (!answer_handed_over_)
             notify_disconnect();
     }
@@ -236,8 +235,6 @@
             return;
         }
         answer_handed_over_ = true;
-        if (!std::exchange(removed_from_in_flight_count_, true))
-            --in_flight_;
         h2o_send(h2o_request_, &chunk, chunks, final_state_);
     }
 
@@ -274,7 +271,6 @@
     bool h2o_send_pending_ = false;
     bool end_requested_ = false;
     bool answer_handed_over_ = false;
-    bool removed_from_in_flight_count_ = false;
     bool disconnected_ = false;
 };
 
--- a/libraries/net/http_server.hpp
+++ b/libraries/net/http_server.hpp
@@ -69,7 +69,7 @@
     /// Starts a graceful shutdown: each connection closes after its current answer, so that callers
     /// reconnect elsewhere.
     void close_connections_after_answers();
-    /// Number of exchanges whose answer is not complete.
+    /// Number of exchanges whose answer has not been sent completely.
     std::size_t exchanges_in_flight() const;
     std::size_t connections() const;
 
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -5,8 +5,11 @@
 #include "tests/fakes/harness.hpp"
 #include "tests/fakes/raw_sockets.hpp"
 
+#include <sys/socket.h>
+
 #include <memory>
 #include <string>
+#include <thread>
 
 using namespace burdockstep;
 using namespace burdockstep::testing;
@@ -258,3 +261,36 @@
         CHECK((question == "x") == received_answer->has_value());
     }
 }
+
+TEST(http, exchange_is_in_flight_until_a_slow_caller_has_the_end_of_its_answer)
+{
+    constexpr std::size_t part_bytes = std::size_t{16} * 1024 * 1024;
+    http_server server(shared_loop(), {});
+    auto const listening =
+        server.try_listen(loopback_any_port(), [&](std::shared_ptr<http_exchange> const& each) {
+            each->start({.status = 200,
+                         .headers = {},
+                         .content_length = 2 * part_bytes,
+                         .delimited = true});
+            each->write(std::string(part_bytes, 'a'));
+            each->write(std::string(part_bytes, 'b'));
+            each->finish();
+        });
+    int const connection = connect_and_send(
+        listening_address(listening), "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    std::string answer;
+    std::string buffer(std::size_t{1} * 1024 * 1024, '\0');
+    run_until([&] {
+        ssize_t const size = recv(connection, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (size > 0)
+            answer.append(buffer.data(), static_cast<std::size_t>(size));
+        return answer.size() > part_bytes;
+    });
+    LONGS_EQUAL(1, server.exchanges_in_flight());
+
+    std::thread caller([&] { answer += read_until_close(connection); });
+    run_until([&] { return server.exchanges_in_flight() == 0; });
+    // The operating system sends what it has taken over, although the loop no longer runs.
+    caller.join();
+    CHECK(answer.size() > 2 * part_bytes);
+}
