tests: ports of gateways in process tests are given out once

A process test failed once at its start: 'timed out after 20 s waiting for: gateway is ready'. Trace: g1's log says 'TCP address 127.0.0.1:43891 can't be bound (address already in use)', and the settings of g0 and g1 both held that port. free_ports closes the sockets at once, so the system may give the same port to the next gateway.

Ports that were returned are now remembered and not returned again. The module also runs its checks only when started as a program, so that another test can use its deployment. No check changed.

--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -15,12 +15,21 @@
 GATEWAY_COUNT = 3
 
 
+given_ports = set()
+
+
 def free_ports(count):
-    """Returns ports that are not in use at the moment."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
+    """Returns ports that are not in use at the moment and that were not returned before: a gateway
+    may not have bound the ones that it was given."""
+    sockets = []
+    ports = []
+    while len(ports) < count:
+        sockets.append(socket.socket())
+        sockets[-1].bind(("127.0.0.1", 0))
+        port = sockets[-1].getsockname()[1]
+        if port not in given_ports:
+            ports.append(port)
+            given_ports.add(port)
     for each in sockets:
         each.close()
     return ports
@@ -406,4 +415,5 @@
             print(f"{check.__name__}: {time.monotonic() - started_at:.1f} s", flush=True)
 
 
-main()
+if __name__ == "__main__":
+    main()
