--- a/libraries/discovery/discovery_store.hpp
+++ b/libraries/discovery/discovery_store.hpp
@@ -2,11 +2,11 @@
 #pragma once
 
 #include "libraries/core/address.hpp"
+#include "libraries/core/store_position.hpp"
 #include "libraries/discovery/upstream_registration.hpp"
 #include "libraries/membership/member_directory.hpp"
 #include "libraries/routing/routing_document.hpp"
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -23,18 +23,15 @@
     no_answer          ///< No answer arrived in time; a write may still take effect.
 };
 
-/// Version of the store's data. It increases with each transaction.
-using store_version = strong_type<std::uint64_t, struct store_version_tag>;
-
 /// Routing and evacuations as set by the operators. Parts that an answer doesn't mention are empty.
 struct operator_directives
 {
     std::shared_ptr<routing_document const> routing; ///< Null: absent or unreadable.
     std::vector<place_name> evacuated;
     std::vector<place_name> evacuation_lifted; ///< Only in answers that list changes.
-    /// Version at which the newest of these parts was written. The version of the store itself also
-    /// increases when other data is written.
-    store_version last_change_version;
+    /// Position at which the newest of these parts was written. The version of the store itself
+    /// also increases when other data is written.
+    store_position last_change;
 };
 
 /// Records of entries: all of them, or those that changed. An entry that has left for good has
@@ -42,8 +39,8 @@
 struct entry_records
 {
     std::vector<listed_member> entries;
-    /// Version at which the newest of these records was written.
-    store_version last_change_version;
+    /// Position at which the newest of these records was written.
+    store_position last_change;
 };
 
 /// Outcome of one call to the store, with its content.
@@ -51,14 +48,23 @@
 struct discovery_store_answer
 {
     discovery_store_status status = discovery_store_status::no_answer;
-    store_version version; ///< The content includes all changes up to this version.
-    unsigned calls = 1;    ///< Calls to the store that it took: one for each page.
+    /// The content includes all changes up to this position. Its era is set in all answers, its
+    /// version only if the call is done.
+    store_position position;
+    unsigned calls = 1; ///< Calls to the store that it took: one for each page.
     Content content{};
 };
 
 template <class Content>
 using discovery_store_handler = std::function<void(discovery_store_answer<Content>)>;
 
+/// Outcome of a write to the store.
+struct discovery_store_write
+{
+    discovery_store_status status = discovery_store_status::no_answer;
+    store_era era;
+};
+
 /// The platform's store. Each handler is called exactly once, later, from the event loop.
 class discovery_store
 {
@@ -68,23 +74,23 @@
     /// Reads all directives.
     virtual void read_directives(discovery_store_handler<operator_directives> handler) = 0;
     /// Waits up to `max_wait` for directives that were changed after a version.
-    virtual void await_directive_changes(store_version since_version, duration max_wait,
+    virtual void await_directive_changes(store_position since, duration max_wait,
                                          discovery_store_handler<operator_directives> handler) = 0;
     /// Reads all registrations.
     virtual void
     read_registrations(discovery_store_handler<std::vector<registration_change>> handler) = 0;
     /// Reads the registrations that were changed after a version, without waiting.
     virtual void read_registration_changes(
-        store_version since_version,
+        store_position since,
         discovery_store_handler<std::vector<registration_change>> handler) = 0;
     /// Reads all records that entries have written of themselves.
     virtual void read_entries(discovery_store_handler<entry_records> handler) = 0;
     /// Waits up to `max_wait` for records of entries that were changed after a version.
-    virtual void await_entry_changes(store_version since_version, duration max_wait,
+    virtual void await_entry_changes(store_position since, duration max_wait,
                                      discovery_store_handler<entry_records> handler) = 0;
     /// Writes the record of this entry. The call is idempotent.
     virtual void write_entry(listed_member const& self,
-                             std::function<void(discovery_store_status)> handler) = 0;
+                             std::function<void(discovery_store_write)> handler) = 0;
 };
 
 } // namespace burdockstep
--- a/libraries/discovery/entries_update.cpp
+++ b/libraries/discovery/entries_update.cpp
@@ -4,10 +4,10 @@
 
 namespace burdockstep {
 
-wire::entries_update_message make_entries_update(std::uint64_t after, std::uint64_t version,
+wire::entries_update_message make_entries_update(store_position after, store_position up_to,
                                                  std::vector<listed_member> const& changed)
 {
-    wire::entries_update_message update{.after = after, .version = version, .entries = {}};
+    wire::entries_update_message update{.after = after, .up_to = up_to, .entries = {}};
     for (listed_member const& each : changed) {
         if (update.entries.is_full()) {
             update.complete = false;
--- a/libraries/discovery/entries_update.hpp
+++ b/libraries/discovery/entries_update.hpp
@@ -8,10 +8,10 @@
 
 namespace burdockstep {
 
-/// Makes the update that carries the records in `changed`, written after store version `after` and
-/// up to `version`. When they don't all fit, the update is marked incomplete, and its receivers
+/// Makes the update that carries the records in `changed`, written after store position `after` and
+/// up to `up_to`. When they don't all fit, the update is marked incomplete, and its receivers
 /// must read the list from the store.
-wire::entries_update_message make_entries_update(std::uint64_t after, std::uint64_t version,
+wire::entries_update_message make_entries_update(store_position after, store_position up_to,
                                                  std::vector<listed_member> const& changed);
 
 /// Returns the records that an update carries.
--- a/libraries/discovery/registry_update.cpp
+++ b/libraries/discovery/registry_update.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t max_incomplete_updates = 4;
 
 /// Encoded size of an update without changes, rounded up.
-constexpr std::size_t update_overhead_bytes = 64;
+constexpr std::size_t update_overhead_bytes = 96;
 /// Encoded size of a change without its names, rounded up.
 constexpr std::size_t change_overhead_bytes = 64;
 constexpr std::size_t max_change_bytes_per_piece = wire::max_datagram_bytes - update_overhead_bytes;
@@ -130,11 +130,10 @@
 }
 
 std::vector<wire::registry_update_message>
-make_registry_update_pieces(std::uint64_t after, std::uint64_t version,
+make_registry_update_pieces(store_position after, store_position up_to,
                             std::vector<registration_change> const& changes)
 {
-    wire::registry_update_message const empty_piece{
-        .after = after, .version = version, .changes = {}};
+    wire::registry_update_message const empty_piece{.after = after, .up_to = up_to, .changes = {}};
     std::vector<wire::registry_update_message> pieces{empty_piece};
     std::size_t piece_bytes = 0;
     for (registration_change const& each : changes) {
@@ -162,7 +161,7 @@
 std::optional<assembled_registry_update>
 registry_update_assembler::add_piece(wire::registry_update_message const& piece)
 {
-    version_range const key{piece.after, piece.version};
+    position_range const key{piece.after, piece.up_to};
     incomplete_update& existing = incomplete_updates_[key];
     existing.last_used = ++use_count_;
     std::vector<registration_change>& piece_changes = existing.pieces[piece.piece_index];
@@ -173,10 +172,8 @@
         evict_least_recently_used();
         return std::nullopt;
     }
-    assembled_registry_update assembled{.after = store_version(piece.after),
-                                        .version = store_version(piece.version),
-                                        .complete = piece.complete,
-                                        .changes = {}};
+    assembled_registry_update assembled{
+        .after = piece.after, .up_to = piece.up_to, .complete = piece.complete, .changes = {}};
     for (auto& [number, changes] : existing.pieces)
         assembled.changes.insert(assembled.changes.end(), changes.begin(), changes.end());
     incomplete_updates_.erase(key);
--- a/libraries/discovery/registry_update.hpp
+++ b/libraries/discovery/registry_update.hpp
@@ -34,19 +34,19 @@
 snapshot_differences(upstream_registry const& registry,
                      std::vector<registration_change> const& snapshot);
 
-/// Makes the update that carries `changes`, made after store version `after` and up to `version`,
+/// Makes the update that carries `changes`, made after store position `after` and up to `up_to`,
 /// split into pieces that each fit in a datagram. When the changes don't fit in the largest number
 /// of pieces, a single empty piece marked as incomplete is returned, and its receivers must read
 /// the registry themselves.
 std::vector<wire::registry_update_message>
-make_registry_update_pieces(std::uint64_t after, std::uint64_t version,
+make_registry_update_pieces(store_position after, store_position up_to,
                             std::vector<registration_change> const& changes);
 
 /// A registry update with the changes of all its pieces.
 struct assembled_registry_update
 {
-    store_version after;
-    store_version version;
+    store_position after;
+    store_position up_to;
     bool complete = true; ///< False when there were too many changes to send.
     std::vector<registration_change> changes;
 };
@@ -65,11 +65,11 @@
         std::map<std::uint8_t, std::vector<registration_change>> pieces;
         std::uint64_t last_used = 0;
     };
-    using version_range = std::pair<std::uint64_t, std::uint64_t>;
+    using position_range = std::pair<store_position, store_position>;
 
     void evict_least_recently_used();
 
-    std::map<version_range, incomplete_update> incomplete_updates_;
+    std::map<position_range, incomplete_update> incomplete_updates_;
     std::uint64_t use_count_ = 0;
 };
 
--- a/libraries/discovery/upstream_registry.cpp
+++ b/libraries/discovery/upstream_registry.cpp
@@ -24,8 +24,12 @@
 {}
 
 void upstream_registry::apply_snapshot(std::vector<registration_change> const& snapshot,
-                                       time_point now)
+                                       time_point now, store_era era)
 {
+    bool const is_restored_copy = has_snapshot_ && era > era_;
+    if (is_restored_copy)
+        note_store_returned(now);
+    era_ = std::max(era_, era);
     std::set<upstream_name> present_names;
     for (registration_change const& each : snapshot) {
         if (each.registration)
@@ -34,7 +38,7 @@
     apply_changes(snapshot, now);
     for (auto const& [name, upstream] : upstreams_) {
         if (!present_names.contains(name))
-            mark_missing(name, now);
+            mark_missing(name, now, is_restored_copy || missing_.contains(name));
     }
     has_snapshot_ = true;
     resolve_missing(now);
@@ -47,7 +51,7 @@
         if (each.registration)
             apply_registration(*each.registration, now);
         else
-            mark_missing(each.name, now);
+            mark_missing(each.name, now, false);
     }
     resolve_missing(now);
 }
@@ -57,7 +61,7 @@
     auto const found = upstreams_.find(change.name);
     if (!change.registration)
         return found != upstreams_.end() && !found->second.removed;
-    if (found == upstreams_.end() || found->second.removed || missing_since_.contains(change.name))
+    if (found == upstreams_.end() || found->second.removed || missing_.contains(change.name))
         return true;
     upstream_registration const& known = found->second.registration;
     upstream_registration const& now = *change.registration;
@@ -70,9 +74,13 @@
 void upstream_registry::apply_registration(upstream_registration const& registration,
                                            time_point now)
 {
-    missing_since_.erase(registration.name);
     auto const [position, is_new] = upstreams_.try_emplace(registration.name);
     known_upstream& known = position->second;
+    if (!is_new && is_outdated_copy(known, registration)) {
+        mark_missing(registration.name, now, true);
+        return;
+    }
+    missing_.erase(registration.name);
     bool const is_replacement = is_new || is_new_incarnation(known.registration, registration);
     if (is_replacement) {
         auto const region = regions_by_place_.find(registration.place);
@@ -80,11 +88,13 @@
                  .region = region == regions_by_place_.end() ? region_name{} : region->second,
                  .first_seen = now,
                  .cold_until = {},
-                 .removed_at = {}};
+                 .removed_at = {},
+                 .era = {}};
         known.evacuated = evacuated_places_.contains(registration.place);
         known.draining = has_leaving_mark(registration);
         ++change_count_;
     }
+    known.era = era_;
     if (!is_replacement && registration.heartbeat < known.registration.heartbeat)
         return; // An older write of the same incarnation.
     bool const reports_draining = registration.state == upstream_state::draining;
@@ -101,18 +111,38 @@
         ++change_count_;
 }
 
-void upstream_registry::mark_missing(upstream_name const& name, time_point now)
+bool upstream_registry::is_outdated_copy(known_upstream const& known,
+                                         upstream_registration const& registration) const
+{
+    if (known.era == era_)
+        return false;
+    upstream_registration const& newest = known.registration;
+    bool const is_same_or_older_write = registration.heartbeat <= newest.heartbeat;
+    if (newest.started_ms != 0 && registration.started_ms != 0) {
+        bool const is_removed_incarnation =
+            known.removed && registration.started_ms == newest.started_ms;
+        return registration.started_ms < newest.started_ms ||
+               (is_removed_incarnation && is_same_or_older_write);
+    }
+    return known.removed ? is_same_or_older_write : registration.heartbeat < newest.heartbeat;
+}
+
+void upstream_registry::mark_missing(upstream_name const& name, time_point now,
+                                     bool in_restored_copy)
 {
     auto const found = upstreams_.find(name);
     if (found == upstreams_.end() || found->second.removed)
         return;
-    missing_since_.try_emplace(name, now);
+    missing_registration& missing =
+        missing_.try_emplace(name, missing_registration{now, true}).first->second;
+    // A removal that the store reports in its new history is final.
+    missing.in_restored_copy = missing.in_restored_copy && in_restored_copy;
 }
 
 std::size_t upstream_registry::count_missing(service_name const& service) const
 {
     return static_cast<std::size_t>(
-        std::count_if(missing_since_.begin(), missing_since_.end(), [&](auto const& item) {
+        std::count_if(missing_.begin(), missing_.end(), [&](auto const& item) {
             return upstreams_.at(item.first).registration.service == service;
         }));
 }
@@ -135,7 +165,7 @@
 void upstream_registry::resolve_missing(time_point now)
 {
     std::map<service_name, bool> has_mass_loss;
-    for (auto const& [name, since] : missing_since_) {
+    for (auto const& [name, missing] : missing_) {
         service_name const& service = upstreams_.at(name).registration.service;
         if (has_mass_loss.contains(service))
             continue;
@@ -143,14 +173,17 @@
         has_mass_loss[service] = static_cast<double>(count_missing(service)) >
                                  options_.mass_loss_fraction * usable_count;
     }
-    std::erase_if(missing_since_, [&](auto const& item) {
+    std::erase_if(missing_, [&](auto const& item) {
         known_upstream& known = upstreams_.at(item.first);
-        bool const in_grace =
-            now - item.second < options_.mass_loss_grace || now < recovery_grace_end_;
+        bool const in_recovery = now < recovery_grace_end_;
+        if (item.second.in_restored_copy && in_recovery)
+            return false;
+        bool const in_grace = now - item.second.since < options_.mass_loss_grace || in_recovery;
         if (has_mass_loss[known.registration.service] && in_grace)
             return false;
         known.removed = true;
         known.removed_at = now;
+        known.era = era_;
         ++change_count_;
         return true;
     });
--- a/libraries/discovery/upstream_registry.hpp
+++ b/libraries/discovery/upstream_registry.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "libraries/core/clock.hpp"
+#include "libraries/core/store_position.hpp"
 #include "libraries/discovery/upstream_registration.hpp"
 
 #include <map>
@@ -22,6 +23,7 @@
     bool removed = false;  ///< Its registration is gone.
     time_point removed_at;
     bool evacuated = false; ///< Its place is evacuated and receives no requests.
+    store_era era;          ///< Of the store when its registration was last taken or removed.
 
     /// Returns true when it may receive requests.
     bool is_usable() const { return !draining && !removed && !evacuated; }
@@ -54,8 +56,10 @@
     upstream_registry(registry_options options, std::map<place_name, region_name> regions_by_place);
 
     /// Applies the whole content of the platform's registry: upstreams that aren't in it have no
-    /// registration.
-    void apply_snapshot(std::vector<registration_change> const& snapshot, time_point now);
+    /// registration. When `era` is newer than before, the content comes from an older copy: what it
+    /// lacks is kept for a time, and what it has isn't newer than what is known.
+    void apply_snapshot(std::vector<registration_change> const& snapshot, time_point now,
+                        store_era era = {});
     void apply_changes(std::vector<registration_change> const& changes, time_point now);
     /// Returns true when a change carries more than a new heartbeat of a known upstream or the
     /// removal of an unknown one.
@@ -92,12 +96,23 @@
         time_point reported_at;
     };
 
+    /// A registration that is gone from the store.
+    struct missing_registration
+    {
+        time_point since;
+        bool in_restored_copy = false; ///< Lost with the store's history: it may be written again.
+    };
+
     /// Returns true if this incarnation, whose start is known, was reported as leaving.
     bool has_leaving_mark(upstream_registration const& registration) const;
     void keep_leaving_mark(upstream_name const& name, upstream_incarnation incarnation,
                            time_point now);
     void apply_registration(upstream_registration const& registration, time_point now);
-    void mark_missing(upstream_name const& name, time_point now);
+    /// Returns true for a registration that an older copy of the store has brought back: a former
+    /// incarnation, or one that was removed.
+    bool is_outdated_copy(known_upstream const& known,
+                          upstream_registration const& registration) const;
+    void mark_missing(upstream_name const& name, time_point now, bool in_restored_copy);
     void resolve_missing(time_point now);
     std::size_t count_missing(service_name const& service) const;
     std::size_t count_usable(service_name const& service) const;
@@ -105,10 +120,11 @@
     registry_options options_;
     std::map<place_name, region_name> regions_by_place_;
     std::map<upstream_name, known_upstream> upstreams_;
-    std::map<upstream_name, time_point> missing_since_; ///< Registration gone, not removed yet.
+    std::map<upstream_name, missing_registration> missing_; ///< Gone, not removed yet.
     std::map<upstream_name, leaving_mark> leaving_marks_;
     std::set<place_name> evacuated_places_;
     time_point recovery_grace_end_;
+    store_era era_;             ///< Of the last snapshot.
     bool has_snapshot_ = false; ///< The whole registry has been applied at least once.
     std::uint64_t change_count_ = 1;
 };
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -5,6 +5,7 @@
 #include "libraries/core/address.hpp"
 #include "libraries/core/digest.hpp"
 #include "libraries/core/ids.hpp"
+#include "libraries/core/store_position.hpp"
 #include "libraries/wire/bounded.hpp"
 
 #include <cstdint>
@@ -92,13 +93,15 @@
 {
     member_record sender;
     configuration_head head;
+    /// Position of the store at which the directives that the sender applies last changed.
+    store_position directives;
     bounded_list<member_record, 8> member_updates;
     bounded_list<leaving_upstream, 4> leaving;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(sender, head, member_updates, leaving);
+        archive(sender, head, directives, member_updates, leaving);
     }
 
     friend bool operator==(heartbeat const&, heartbeat const&) = default;
@@ -263,14 +266,14 @@
                            registration_change_record const&) = default;
 };
 
-/// Changes of the registry between two versions of the store, sent by an entry that read them. It
-/// also carries the versions at which the directives and the list of entries last changed.
+/// Changes of the registry between two positions of the store, sent by an entry that read them. It
+/// also carries the positions at which the directives and the list of entries last changed.
 struct registry_update_message
 {
-    std::uint64_t after = 0;   ///< The update covers changes after this version,
-    std::uint64_t version = 0; ///< up to and including this one.
-    std::uint64_t directives_version = 0;
-    std::uint64_t entries_version = 0;
+    store_position after; ///< The update covers changes after this position,
+    store_position up_to; ///< up to and including this one.
+    store_position directives;
+    store_position entries;
     bool complete = true;         ///< If false, not all changes fitted: read the registry.
     std::uint8_t piece_index = 0; ///< Position among the update's pieces, from 0.
     std::uint8_t pieces = 1;      ///< Number of datagrams that the update is split into.
@@ -279,20 +282,20 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(after, version, directives_version, entries_version, checked_bool(complete),
-                piece_index, pieces, changes);
+        archive(after, up_to, directives, entries, checked_bool(complete), piece_index, pieces,
+                changes);
     }
 
     friend bool operator==(registry_update_message const&,
                            registry_update_message const&) = default;
 };
 
-/// Entries whose records changed between two versions of the list of entries, sent by an entry that
-/// read them.
+/// Entries whose records changed between two positions of the list of entries, sent by an entry
+/// that read them.
 struct entries_update_message
 {
-    std::uint64_t after = 0;
-    std::uint64_t version = 0;
+    store_position after;
+    store_position up_to;
     bool complete = true; ///< If false, not all entries fitted: read the list.
     /// As many as fit in a datagram with the longest names.
     bounded_list<listed_instance, 5> entries;
@@ -300,7 +303,7 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(after, version, checked_bool(complete), entries);
+        archive(after, up_to, checked_bool(complete), entries);
     }
 
     friend bool operator==(entries_update_message const&, entries_update_message const&) = default;
--- a/services/burdockstep_gateway/discovery/directives_reader.cpp
+++ b/services/burdockstep_gateway/discovery/directives_reader.cpp
@@ -1,5 +1,7 @@
 #include "services/burdockstep_gateway/discovery/directives_reader.hpp"
 
+#include "libraries/discovery/store_history.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -10,6 +12,8 @@
 /// How long the store is asked to wait for a change. A connection that fails silently delays the
 /// next call by this time, so it must stay close to the time in which a directive must be in force.
 constexpr duration max_poll_wait = std::chrono::seconds(2);
+/// How often evacuations that the store lacks are checked for their end.
+constexpr duration evacuation_check_interval = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -17,7 +21,8 @@
                                      store_monitor& monitor,
                                      evacuation_handler on_evacuations_changed)
     : context_(context), store_client_(store_client), store_monitor_(monitor),
-      on_evacuations_changed_(std::move(on_evacuations_changed)), retry_timer_(context.loop)
+      on_evacuations_changed_(std::move(on_evacuations_changed)), retry_timer_(context.loop),
+      evacuation_timer_(context.loop)
 {}
 
 void directives_reader::read_all()
@@ -38,7 +43,7 @@
     std::uint64_t const call_number = ++current_call_;
     call_pending_ = true;
     store_client_.await_directive_changes(
-        version_, max_poll_wait,
+        position_, max_poll_wait,
         [this, call_number](discovery_store_answer<operator_directives> const& answer) {
             if (call_number == current_call_)
                 handle_answer(answer, false);
@@ -52,10 +57,16 @@
         long_poll();
 }
 
-void directives_reader::note_peer_version(std::uint64_t change_version)
+void directives_reader::note_peer_position(store_position change)
+{
+    peer_change_ = std::max(peer_change_, change);
+    if (peer_change_ > last_change_ && !full_read_pending_)
+        read_all();
+}
+
+void directives_reader::note_history_replaced(store_era era)
 {
-    peer_change_version_ = std::max(peer_change_version_, change_version);
-    if (peer_change_version_ > last_change_version_ && !full_read_pending_)
+    if (position_.era < era && !full_read_pending_)
         read_all();
 }
 
@@ -74,10 +85,10 @@
     call_pending_ = false;
     store_monitor_.record_result(is_full_read ? store_call_purpose::directives
                                               : store_call_purpose::directive_changes,
-                                 answer.status, answer.calls);
+                                 answer.status, answer.position, answer.calls);
     if (answer.status == discovery_store_status::history_truncated) {
         log_.info("change history of directives is truncated; reading all directives",
-                  {field("after", version_.get())});
+                  {field("after", position_.version.get())});
         read_all();
         return;
     }
@@ -85,17 +96,28 @@
         retry(is_full_read);
         return;
     }
+    answer_use const use =
+        use_of_answer(position_, store_monitor_.era(), answer.position,
+                      is_full_read ? answer_scope::whole_table : answer_scope::changes);
+    if (use == answer_use::read_whole_table) {
+        read_all();
+        return;
+    }
+    if (use == answer_use::repeat_call) {
+        retry(is_full_read);
+        return;
+    }
     full_read_pending_ = false;
     update_evacuations(answer, is_full_read);
     if (answer.content.routing)
         apply_document(answer.content.routing);
-    version_ = std::max(version_, answer.version);
-    set_last_change_version(answer.content.last_change_version.get());
+    position_ = std::max(position_, answer.position);
+    set_last_change(answer.content.last_change);
     // If this answer is at least as new as the change that a peer announced but does not contain
     // it, the change was a removal, which leaves no row.
-    if (is_full_read && answer.version.get() >= peer_change_version_)
-        set_last_change_version(peer_change_version_);
-    if (peer_change_version_ > last_change_version_)
+    if (is_full_read && answer.position >= peer_change_)
+        set_last_change(peer_change_);
+    if (peer_change_ > last_change_)
         retry(true);
     else if (is_long_polling_)
         long_poll();
@@ -104,24 +126,43 @@
 void directives_reader::update_evacuations(
     discovery_store_answer<operator_directives> const& answer, bool is_full_read)
 {
-    std::set<place_name> evacuated = is_full_read ? std::set<place_name>{} : evacuated_places_;
-    evacuated.insert(answer.content.evacuated.begin(), answer.content.evacuated.end());
-    for (place_name const& each : answer.content.evacuation_lifted)
-        evacuated.erase(each);
-    if (evacuated == evacuated_places_)
+    time_point const now = context_.clock.now();
+    if (is_full_read)
+        evacuations_.apply_all(answer.content.evacuated, answer.position.era, now);
+    else
+        evacuations_.apply_changes(answer.content.evacuated, answer.content.evacuation_lifted);
+    evacuations_.expire(now);
+    publish_evacuations(answer.position);
+    if (evacuations_.has_unconfirmed())
+        evacuation_timer_.start_once(evacuation_check_interval, [this] { expire_evacuations(); });
+}
+
+void directives_reader::expire_evacuations()
+{
+    evacuations_.expire(context_.clock.now());
+    publish_evacuations(position_);
+    if (evacuations_.has_unconfirmed())
+        evacuation_timer_.start_once(evacuation_check_interval, [this] { expire_evacuations(); });
+}
+
+void directives_reader::publish_evacuations(store_position position)
+{
+    std::set<place_name> evacuated = evacuations_.places();
+    if (evacuated == published_evacuations_)
         return;
     log_.info("evacuations changed",
-              {field("places", evacuated.size()), field("store_version", answer.version.get())});
-    evacuated_places_ = std::move(evacuated);
-    on_evacuations_changed_(evacuated_places_);
+              {field("places", evacuated.size()), field("store_era", position.era.get()),
+               field("store_version", position.version.get())});
+    published_evacuations_ = std::move(evacuated);
+    on_evacuations_changed_(published_evacuations_);
 }
 
-void directives_reader::set_last_change_version(std::uint64_t change_version)
+void directives_reader::set_last_change(store_position change)
 {
-    if (change_version <= last_change_version_)
+    if (change <= last_change_)
         return;
-    last_change_version_ = change_version;
-    context_.post(directives_applied{.version = change_version});
+    last_change_ = change;
+    context_.post(directives_applied{.position = change});
 }
 
 void directives_reader::apply_document(std::shared_ptr<routing_document const> document)
--- a/services/burdockstep_gateway/discovery/discovery_task.cpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.cpp
@@ -59,19 +59,23 @@
 void discovery_task::handle_update(wire::registry_update_message const& update)
 {
     ++updates_received_;
+    for (store_position const& each : {update.up_to, update.directives, update.entries})
+        store_monitor_.record_peer_position(each);
+    directives_reader_.note_peer_position(update.directives);
+    entries_reader_.note_peer_position(update.entries);
+    if (update.up_to.era < store_monitor_.era())
+        return;
     store_monitor_.record_peer_update();
     auto const assembled_update = update_assembler_.add_piece(update);
     if (assembled_update && registrations_reader_.handle_update(*assembled_update))
         set_receives_updates(true);
-    directives_reader_.note_peer_version(update.directives_version);
-    entries_reader_.note_peer_version(update.entries_version);
 }
 
 void discovery_task::broadcast_updates(std::vector<wire::registry_update_message> update_pieces)
 {
     for (wire::registry_update_message& each : update_pieces) {
-        each.directives_version = directives_reader_.last_change_version();
-        each.entries_version = entries_reader_.last_change_version();
+        each.directives = directives_reader_.last_change();
+        each.entries = entries_reader_.last_change();
         context_.post(registry_update_ready{.update = std::move(each)});
     }
 }
@@ -81,8 +85,8 @@
     bool const announces = is_registry_reader_ || !receives_updates_;
     if (!announces || !registrations_reader_.has_full_registry())
         return;
-    std::uint64_t const version = registrations_reader_.version().get();
-    broadcast_updates(make_registry_update_pieces(version, version, {}));
+    store_position const position = registrations_reader_.position();
+    broadcast_updates(make_registry_update_pieces(position, position, {}));
 }
 
 void discovery_task::set_is_registry_reader(bool is_reader)
@@ -114,9 +118,15 @@
 
 void discovery_task::receive(event const& new_event)
 {
-    if (auto const* const peer_version =
-            std::get_if<peer_directives_version_received>(&new_event)) {
-        directives_reader_.note_peer_version(peer_version->version);
+    if (auto const* const peer_directives =
+            std::get_if<peer_directives_position_received>(&new_event)) {
+        store_monitor_.record_peer_position(peer_directives->position);
+        directives_reader_.note_peer_position(peer_directives->position);
+    }
+    else if (auto const* const replaced = std::get_if<store_history_replaced>(&new_event)) {
+        directives_reader_.note_history_replaced(replaced->era);
+        registrations_reader_.note_history_replaced(replaced->era);
+        entries_reader_.note_history_replaced(replaced->era);
     }
     else if (std::holds_alternative<directives_applied>(new_event)) {
         broadcast_directives_version();
@@ -134,6 +144,7 @@
     }
     else if (auto const* const received_entries_update =
                  std::get_if<entries_update_received>(&new_event)) {
+        store_monitor_.record_peer_position(received_entries_update->update.up_to);
         entries_reader_.handle_update(received_entries_update->update);
     }
     else if (auto const* const leaving = std::get_if<upstream_leaving>(&new_event)) {
@@ -182,6 +193,8 @@
         write_outcome("unanswered", counts.no_answer);
     }
     write_metric("store_reachable", store_monitor_.is_reachable() ? 1 : 0);
+    write_metric("store_era", store_monitor_.era().get());
+    write_metric("store_replacements_total", store_monitor_.replacements());
     write_metric("configuration_version",
                  directives_reader_.document() ? directives_reader_.document()->version.get() : 0);
 }
--- a/services/burdockstep_gateway/discovery/entries_reader.cpp
+++ b/services/burdockstep_gateway/discovery/entries_reader.cpp
@@ -1,6 +1,7 @@
 #include "services/burdockstep_gateway/discovery/entries_reader.hpp"
 
 #include "libraries/discovery/entries_update.hpp"
+#include "libraries/discovery/store_history.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -48,8 +49,15 @@
 
 void entries_reader::start()
 {
-    context_.post(entry_records_received{.entries = {own_record()}, .is_full_list = false});
+    context_.post(entry_records_received{.entries = {own_record()}});
+    read_all_after_delay();
+}
+
+void entries_reader::read_all_after_delay()
+{
     call_pending_ = true;
+    full_read_pending_ = true;
+    ++current_read_;
     auto const spread = static_cast<std::uint64_t>(max_first_read_delay.count());
     duration const delay(static_cast<std::int64_t>(context_.random.below(spread)));
     read_timer_.start_once(delay, [this] { read_all(); });
@@ -57,25 +65,43 @@
 
 void entries_reader::write_own_record()
 {
-    store_client_.write_entry(own_record(), [this](discovery_store_status status) {
-        store_monitor_.record_result(store_call_purpose::own_entry, status);
-        if (status != discovery_store_status::done)
+    store_client_.write_entry(own_record(), [this](discovery_store_write const& written) {
+        store_monitor_.record_result(store_call_purpose::own_entry, written.status,
+                                     {.era = written.era, .version = {}});
+        if (written.status != discovery_store_status::done)
             write_timer_.start_once(write_pause_.next(context_.random),
                                     [this] { write_own_record(); });
     });
 }
 
+void entries_reader::write_own_record_unless_in(std::vector<listed_member> const& entries)
+{
+    if (std::find(entries.begin(), entries.end(), own_record()) != entries.end())
+        return;
+    write_timer_.stop();
+    write_own_record();
+}
+
 void entries_reader::read_all()
 {
+    std::uint64_t const read_number = ++current_read_;
     call_pending_ = true;
-    store_client_.read_entries([this](entries_answer const& answer) { handle_full_list(answer); });
+    full_read_pending_ = true;
+    store_client_.read_entries([this, read_number](entries_answer const& answer) {
+        if (read_number == current_read_)
+            handle_full_list(answer);
+    });
 }
 
 void entries_reader::long_poll(duration max_wait)
 {
+    std::uint64_t const read_number = ++current_read_;
     call_pending_ = true;
-    store_client_.await_entry_changes(
-        version_, max_wait, [this](entries_answer const& answer) { handle_changes(answer); });
+    store_client_.await_entry_changes(position_, max_wait,
+                                      [this, read_number](entries_answer const& answer) {
+                                          if (read_number == current_read_)
+                                              handle_changes(answer);
+                                      });
 }
 
 void entries_reader::retry(bool is_full_list)
@@ -87,23 +113,31 @@
 
 void entries_reader::handle_full_list(entries_answer const& answer)
 {
-    store_monitor_.record_result(store_call_purpose::entries, answer.status, answer.calls);
-    if (answer.status != discovery_store_status::done) {
+    store_monitor_.record_result(store_call_purpose::entries, answer.status, answer.position,
+                                 answer.calls);
+    bool const is_usable = answer.status == discovery_store_status::done &&
+                           use_of_answer(position_, store_monitor_.era(), answer.position,
+                                         answer_scope::whole_table) == answer_use::apply;
+    if (!is_usable) {
         retry(true);
         return;
     }
-    if (answer.version.get() < last_change_version_) {
+    if (answer.position < last_change_) {
         // This list is older than an update already applied from another entry.
         read_all();
         return;
     }
-    version_ = answer.version;
-    last_change_version_ = std::max(last_change_version_, answer.content.last_change_version.get());
-    context_.post(entry_records_received{.entries = answer.content.entries, .is_full_list = true});
-    if (!std::exchange(first_read_done_, true)) {
-        auto const& entries = answer.content.entries;
-        if (std::find(entries.begin(), entries.end(), own_record()) == entries.end())
-            write_own_record();
+    bool const is_first_read = !std::exchange(first_read_done_, true);
+    bool const is_restored = !is_first_read && answer.position.era > position_.era;
+    full_read_pending_ = false;
+    position_ = answer.position;
+    last_change_ = std::max(last_change_, answer.content.last_change);
+    context_.post(entry_records_received{.entries = answer.content.entries,
+                                         .kind = is_restored ? entry_list_kind::restored_list
+                                                             : entry_list_kind::whole_list});
+    if (is_first_read || is_restored)
+        write_own_record_unless_in(answer.content.entries);
+    if (is_first_read) {
         read_timer_.start_once(second_read_delay, [this] { long_poll(duration::zero()); });
         return;
     }
@@ -112,10 +146,11 @@
 
 void entries_reader::handle_changes(entries_answer const& answer)
 {
-    store_monitor_.record_result(store_call_purpose::entry_changes, answer.status, answer.calls);
+    store_monitor_.record_result(store_call_purpose::entry_changes, answer.status, answer.position,
+                                 answer.calls);
     if (answer.status == discovery_store_status::history_truncated) {
         log_.info("change history of entries is truncated; reading all entries",
-                  {field("after", version_.get())});
+                  {field("after", position_.version.get())});
         read_all();
         return;
     }
@@ -123,18 +158,22 @@
         retry(false);
         return;
     }
-    version_ = std::max(version_, answer.version);
+    answer_use const use =
+        use_of_answer(position_, store_monitor_.era(), answer.position, answer_scope::changes);
+    if (use != answer_use::apply) {
+        use == answer_use::read_whole_table ? read_all_after_delay() : retry(false);
+        return;
+    }
+    position_ = std::max(position_, answer.position);
     bool const has_changes = !answer.content.entries.empty();
     if (has_changes) {
-        std::uint64_t const previous_version = last_change_version_;
-        last_change_version_ =
-            std::max(last_change_version_, answer.content.last_change_version.get());
-        context_.post(
-            entry_records_received{.entries = answer.content.entries, .is_full_list = false});
+        store_position const previous_change = last_change_;
+        last_change_ = std::max(last_change_, answer.content.last_change);
+        context_.post(entry_records_received{.entries = answer.content.entries});
         if (announces_changes_) {
-            context_.post(entries_update_ready{
-                .update = make_entries_update(previous_version, last_change_version_,
-                                              answer.content.entries)});
+            context_.post(
+                entries_update_ready{.update = make_entries_update(previous_change, last_change_,
+                                                                   answer.content.entries)});
         }
     }
     if (!has_changes)
@@ -147,9 +186,9 @@
     call_pending_ = false;
     // If the known version is at least as new as the change that a peer announced but the change
     // was not in the answer, it was a removal.
-    if (version_.get() >= peer_change_version_)
-        last_change_version_ = std::max(last_change_version_, peer_change_version_);
-    if (is_long_polling_ || peer_change_version_ > last_change_version_)
+    if (position_ >= peer_change_)
+        last_change_ = std::max(last_change_, peer_change_);
+    if (is_long_polling_ || peer_change_ > last_change_)
         poll_after_pause();
 }
 
@@ -168,25 +207,31 @@
         long_poll(max_poll_wait);
 }
 
-void entries_reader::note_peer_version(std::uint64_t change_version)
+void entries_reader::note_peer_position(store_position change)
 {
-    peer_change_version_ = std::max(peer_change_version_, change_version);
-    if (!call_pending_ && peer_change_version_ > last_change_version_)
+    peer_change_ = std::max(peer_change_, change);
+    if (!call_pending_ && peer_change_ > last_change_)
         poll_after_pause();
 }
 
+void entries_reader::note_history_replaced(store_era era)
+{
+    if (position_.era < era && !full_read_pending_)
+        read_all_after_delay();
+}
+
 void entries_reader::handle_update(wire::entries_update_message const& update)
 {
-    bool const is_contiguous = update.complete && update.after <= last_change_version_;
+    bool const is_contiguous =
+        update.complete && update.up_to.era == last_change_.era && update.after <= last_change_;
     if (!is_contiguous) {
-        note_peer_version(update.version);
+        note_peer_position(update.up_to);
         return;
     }
-    if (update.version <= last_change_version_)
+    if (update.up_to <= last_change_)
         return;
-    last_change_version_ = update.version;
-    context_.post(
-        entry_records_received{.entries = entries_in_update(update), .is_full_list = false});
+    last_change_ = update.up_to;
+    context_.post(entry_records_received{.entries = entries_in_update(update)});
 }
 
 } // namespace burdockstep::gateway
--- a/services/burdockstep_gateway/discovery/entries_reader.hpp
+++ b/services/burdockstep_gateway/discovery/entries_reader.hpp
@@ -26,18 +26,23 @@
     void set_announces_changes(bool announces) { announces_changes_ = announces; }
     /// Applies changes that another entry has read.
     void handle_update(wire::entries_update_message const& update);
-    /// Handles a peer's announcement that the list changed at this version of the store.
-    void note_peer_version(std::uint64_t change_version);
+    /// Handles a peer's announcement that the list changed at this position of the store.
+    void note_peer_position(store_position change);
+    /// Handles the store's return from an older copy: the whole list is read again, and this
+    /// entry's record is written again if the copy lacks it.
+    void note_history_replaced(store_era era);
 
-    /// Version of the store at which the list last changed. Entries announce it to each other.
-    std::uint64_t last_change_version() const { return last_change_version_; }
+    /// Position of the store at which the list last changed. Entries announce it to each other.
+    store_position last_change() const { return last_change_; }
 
 private:
     using entries_answer = discovery_store_answer<entry_records>;
 
     listed_member own_record() const;
     void write_own_record();
+    void write_own_record_unless_in(std::vector<listed_member> const& entries);
     void read_all();
+    void read_all_after_delay();
     void poll_after_pause();
     void long_poll(duration max_wait);
     void handle_full_list(entries_answer const& answer);
@@ -51,9 +56,12 @@
     logger log_{"entries"};
     timer write_timer_;
     timer read_timer_;
-    store_version version_; ///< Version of the store up to which changes are known.
-    std::uint64_t last_change_version_ = 0;
-    std::uint64_t peer_change_version_ = 0; ///< Newest version that a peer has announced.
+    store_position position_; ///< Position of the store up to which changes are known.
+    store_position last_change_;
+    store_position peer_change_; ///< Newest position that a peer has announced.
+    /// Number of the latest read: answers to earlier reads are ignored.
+    std::uint64_t current_read_ = 0;
+    bool full_read_pending_ = false; ///< A read of the whole list is under way or scheduled.
     /// Grows while changes keep coming: when many entries start together, each record written
     /// would otherwise end the long polls of all entries.
     growing_pause poll_pause_;
--- a/services/burdockstep_gateway/discovery/registrations_reader.cpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.cpp
@@ -1,6 +1,7 @@
 #include "services/burdockstep_gateway/discovery/registrations_reader.hpp"
 
 #include "libraries/discovery/registry_read_interval.hpp"
+#include "libraries/discovery/store_history.hpp"
 
 #include <utility>
 
@@ -60,6 +61,15 @@
     history_truncated_ = false;
 }
 
+void registrations_reader::note_history_replaced(store_era era)
+{
+    if (position_.era >= era)
+        return;
+    has_full_registry_ = false;
+    history_truncated_ = false;
+    read_now();
+}
+
 void registrations_reader::start_read()
 {
     if (std::exchange(read_pending_, true))
@@ -74,7 +84,7 @@
     if (is_full_read)
         store_client_.read_registrations(on_answer);
     else
-        store_client_.read_registration_changes(version_, on_answer);
+        store_client_.read_registration_changes(position_, on_answer);
 }
 
 void registrations_reader::handle_answer(
@@ -82,26 +92,34 @@
 {
     store_monitor_.record_result(is_full_read ? store_call_purpose::registrations
                                               : store_call_purpose::registration_changes,
-                                 answer.status, answer.calls);
+                                 answer.status, answer.position, answer.calls);
+    answer_use const use =
+        use_of_answer(position_, store_monitor_.era(), answer.position,
+                      is_full_read ? answer_scope::whole_table : answer_scope::changes);
     duration delay = read_interval();
     if (answer.status == discovery_store_status::history_truncated) {
         history_truncated_ = has_full_registry_;
         has_full_registry_ = false;
         delay = duration::zero();
     }
-    else if (answer.status != discovery_store_status::done) {
+    else if (answer.status != discovery_store_status::done || use == answer_use::repeat_call) {
         delay = store_monitor_.next_retry_delay();
     }
-    else if (!is_full_read && answer.version < version_) {
+    else if (use == answer_use::read_whole_table) {
+        has_full_registry_ = false;
+        delay = duration::zero();
+    }
+    else if (!is_full_read && answer.position < position_) {
         log_.debug("registry read is older than a received update; ignored",
-                   {field("read", answer.version.get()), field("known", version_.get())});
+                   {field("read", answer.position.version.get()),
+                    field("known", position_.version.get())});
     }
     else {
         apply_answer(answer, is_full_read);
     }
     registry_.expire(context_.clock.now());
     publish_upstreams();
-    if (answer.status == discovery_store_status::done)
+    if (answer.status == discovery_store_status::done && use == answer_use::apply)
         context_.post(registry_refreshed{});
     schedule_read(delay);
 }
@@ -112,26 +130,29 @@
     time_point const now = context_.clock.now();
     auto const update = is_full_read ? snapshot_differences(registry_, answer.content)
                                      : significant_changes(registry_, answer.content);
-    bool const continues_known_version = !is_full_read || std::exchange(history_truncated_, false);
+    bool const is_announced_by_differences = std::exchange(history_truncated_, false);
+    bool const continues_known_position =
+        answer.position.era == position_.era && (!is_full_read || is_announced_by_differences);
     if (is_full_read)
-        registry_.apply_snapshot(answer.content, now);
+        registry_.apply_snapshot(answer.content, now, answer.position.era);
     else
         registry_.apply_changes(answer.content, now);
     bool const announces = is_registry_reader_ || std::exchange(stands_in_for_readers_, false);
-    if (continues_known_version && announces)
-        callbacks_.on_changes_read(
-            make_registry_update_pieces(version_.get(), answer.version.get(), update));
+    if (continues_known_position && announces)
+        callbacks_.on_changes_read(make_registry_update_pieces(position_, answer.position, update));
     // A full read that began before the store's recovery was noted is repeated.
     has_full_registry_ = has_full_registry_ || is_full_read;
-    version_ = answer.version;
+    position_ = answer.position;
 }
 
 bool registrations_reader::handle_update(assembled_registry_update const& update)
 {
-    if (!has_full_registry_ || update.version < version_)
+    if (!has_full_registry_ || update.up_to < position_)
         return true;
-    bool const has_gap = !update.complete || update.after > version_;
+    bool const is_other_history = update.up_to.era != position_.era;
+    bool const has_gap = !update.complete || update.after > position_ || is_other_history;
     if (has_gap) {
+        has_full_registry_ = !is_other_history;
         if (!read_pending_)
             start_read();
         return false;
@@ -139,7 +160,7 @@
     stands_in_for_readers_ = false;
     has_received_update_ = true;
     // An update without changes confirms that the registry is unchanged up to its version.
-    version_ = update.version;
+    position_ = update.up_to;
     registry_.apply_changes(update.changes, context_.clock.now());
     registry_.expire(context_.clock.now());
     publish_upstreams();
@@ -155,7 +176,8 @@
     published_changes_ = registry_.changes();
     log_.info("upstreams changed",
               {field("known", registry_.upstreams().size()),
-               field("usable", registry_.count_usable()), field("store_version", version_.get())});
+               field("usable", registry_.count_usable()), field("store_era", position_.era.get()),
+               field("store_version", position_.version.get())});
     context_.post(upstreams_changed{
         .upstreams = std::make_shared<std::map<upstream_name, known_upstream> const>(
             registry_.upstreams())});
--- a/services/burdockstep_gateway/discovery/registrations_reader.hpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.hpp
@@ -39,13 +39,15 @@
     void read_now();
     /// Handles the store's recovery from an outage: the next read reads the whole registry.
     void note_store_returned();
+    /// Handles the store's return from an older copy: the whole registry is read again.
+    void note_history_replaced(store_era era);
     /// Applies changes that another entry has read. Returns false when changes are missing, so that
     /// this entry must read the registry itself.
     bool handle_update(assembled_registry_update const& update);
 
     upstream_registry& registry() { return registry_; }
     upstream_registry const& registry() const { return registry_; }
-    store_version version() const { return version_; }
+    store_position position() const { return position_; }
     bool has_full_registry() const { return has_full_registry_; }
     /// Posts the upstreams to the other tasks if any of them has changed.
     void publish_upstreams();
@@ -66,7 +68,7 @@
     logger log_{"registrations"};
     upstream_registry registry_;
     timer read_timer_;
-    store_version version_;
+    store_position position_;
     std::uint64_t published_changes_ = 0;
     bool is_registry_reader_ = false;
     bool has_received_update_ = false;
--- a/services/burdockstep_gateway/discovery/store_monitor.cpp
+++ b/services/burdockstep_gateway/discovery/store_monitor.cpp
@@ -40,8 +40,10 @@
 {}
 
 void store_monitor::record_result(store_call_purpose purpose, discovery_store_status status,
-                                  unsigned calls)
+                                  store_position answered, unsigned calls)
 {
+    if (status == discovery_store_status::done || knows_era_)
+        note_position(answered, false);
     calls_ += calls;
     store_call_counts& counts = counts_[static_cast<std::size_t>(purpose)];
     counts.calls += calls;
@@ -79,6 +81,28 @@
     context_.post(store_reachability_changed{.reachable = true});
 }
 
+void store_monitor::note_position(store_position position, bool from_peer)
+{
+    bool const is_replacement = std::exchange(knows_era_, true) && position.era > newest_.era;
+    if (is_replacement) {
+        ++replacements_;
+        log_.warning("store returned from an older copy; reading all tables",
+                     {field("era", position.era.get()), field("version", position.version.get()),
+                      field("era_before", newest_.era.get()),
+                      field("version_before", newest_.version.get()),
+                      field("from_peer", from_peer)});
+        context_.post(store_history_replaced{.era = position.era});
+    }
+    newest_ = std::max(newest_, position);
+}
+
+void store_monitor::record_peer_position(store_position position)
+{
+    bool const is_stated = position != store_position{};
+    if (is_stated)
+        note_position(position, true);
+}
+
 void store_monitor::record_peer_update()
 {
     if (is_reachable_)
--- a/services/burdockstep_gateway/discovery/store_monitor.hpp
+++ b/services/burdockstep_gateway/discovery/store_monitor.hpp
@@ -38,16 +38,19 @@
 };
 
 /// Records the results of all calls to the store and posts an event when it becomes reachable or
-/// unreachable.
+/// unreachable, or has returned from an older copy.
 class store_monitor
 {
 public:
     /// `on_recovered` runs when the store answers again after an outage.
     store_monitor(gateway_context& context, std::function<void()> on_recovered);
 
-    /// Records the result of an operation that took `calls` calls.
+    /// Records the result of an operation that took `calls` calls, and the position that the store
+    /// stated in its answer.
     void record_result(store_call_purpose purpose, discovery_store_status status,
-                       unsigned calls = 1);
+                       store_position answered, unsigned calls = 1);
+    /// Records a position of the store that another entry has stated.
+    void record_peer_position(store_position position);
     /// Records an update from another entry that has just read the store. While the store counts as
     /// reachable this is equivalent to an answer.
     void record_peer_update();
@@ -55,6 +58,10 @@
     duration next_retry_delay();
 
     bool is_reachable() const { return is_reachable_; }
+    /// The newest era of the store that is known from its answers or from other entries.
+    store_era era() const { return newest_.era; }
+    /// Number of times that the store has returned from an older copy since the start.
+    std::uint64_t replacements() const { return replacements_; }
     std::uint64_t calls() const { return calls_; }
     store_call_counts const& counts(store_call_purpose purpose) const
     {
@@ -63,6 +70,7 @@
 
 private:
     void record_answer();
+    void note_position(store_position position, bool from_peer);
 
     gateway_context& context_;
     std::function<void()> on_recovered_;
@@ -71,6 +79,9 @@
     bool has_been_reachable_ = false; ///< The store has answered at least once.
     time_point last_answer_at_;
     growing_pause retry_pause_{growing_pause_options{}};
+    store_position newest_;  ///< The newest position stated so far.
+    bool knows_era_ = false; ///< The store or another entry has stated its era.
+    std::uint64_t replacements_ = 0;
     std::uint64_t calls_ = 0;
     std::array<store_call_counts, store_call_purpose_count> counts_{};
 };
--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -1,7 +1,9 @@
 /// Events that the gateway's tasks exchange.
 #pragma once
 
+#include "libraries/core/store_position.hpp"
 #include "libraries/discovery/upstream_registry.hpp"
+#include "libraries/membership/entry_list.hpp"
 #include "libraries/membership/leaving_upstream_tracker.hpp"
 #include "libraries/membership/member_directory.hpp"
 #include "libraries/routing/routing_document.hpp"
@@ -36,7 +38,7 @@
 struct entry_records_received
 {
     std::vector<listed_member> entries;
-    bool is_full_list = false; ///< Entries that are missing from `entries` no longer exist.
+    entry_list_kind kind = entry_list_kind::changes;
 };
 
 /// The set of known entries, or the state of one of them, has changed.
@@ -45,16 +47,22 @@
     std::vector<member_view> members;
 };
 
-/// This entry has applied the operators' directives up to this version of the store.
+/// This entry has applied the operators' directives up to this position of the store.
 struct directives_applied
 {
-    std::uint64_t version = 0;
+    store_position position;
 };
 
-/// A peer's heartbeat names the version of the directives that the peer has applied.
-struct peer_directives_version_received
+/// A peer's heartbeat names the position of the directives that the peer has applied.
+struct peer_directives_position_received
 {
-    std::uint64_t version = 0;
+    store_position position;
+};
+
+/// The store has returned from an older copy, as one of its answers or a peer says.
+struct store_history_replaced
+{
+    store_era era;
 };
 
 /// An incarnation of an upstream is leaving: its answer to this entry said so, or a peer reported
@@ -134,13 +142,14 @@
 struct process_ending
 {};
 
-using event = std::variant<routing_document_applied, upstreams_changed, registry_refreshed,
-                           entry_records_received, members_changed, directives_applied,
-                           peer_directives_version_received, upstream_leaving,
-                           upstream_cold_start_reported, slot_report_ready, slot_report_received,
-                           registry_update_ready, registry_update_received, entries_update_ready,
-                           entries_update_received, store_reachability_changed, process_resumed,
-                           stop_begun, caller_grace_period_ended, process_ending>;
+using event =
+    std::variant<routing_document_applied, upstreams_changed, registry_refreshed,
+                 entry_records_received, members_changed, directives_applied,
+                 peer_directives_position_received, store_history_replaced, upstream_leaving,
+                 upstream_cold_start_reported, slot_report_ready, slot_report_received,
+                 registry_update_ready, registry_update_received, entries_update_ready,
+                 entries_update_received, store_reachability_changed, process_resumed, stop_begun,
+                 caller_grace_period_ended, process_ending>;
 
 /// Queues an event for delivery to all tasks.
 using event_sink = std::function<void(event)>;
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -72,8 +72,8 @@
 void peers_task::process_heartbeat(wire::heartbeat const& heartbeat_message)
 {
     directory_.handle_heartbeat(heartbeat_message, context_.clock.now());
-    if (heartbeat_message.head.version > directives_version_)
-        context_.post(peer_directives_version_received{.version = heartbeat_message.head.version});
+    if (heartbeat_message.directives > directives_position_)
+        context_.post(peer_directives_position_received{.position = heartbeat_message.directives});
     // New reports are also sent on, with their age, in this entry's next heartbeats.
     for (leaving_report const& each :
          leaving_upstreams_.record_leaving(heartbeat_message, context_.clock.now()))
@@ -87,7 +87,7 @@
     directory_.mark_silent_as_lost(now);
     directory_.set_own_state(own_state_, epoch_number(1), configuration_version_);
     wire::heartbeat heartbeat_message = directory_.make_heartbeat();
-    heartbeat_message.head.version = directives_version_;
+    heartbeat_message.directives = directives_position_;
     leaving_upstreams_.expire(now);
     leaving_upstreams_.append_to_heartbeat(heartbeat_message, now);
     send(heartbeat_message, directory_.heartbeat_targets());
@@ -120,21 +120,8 @@
 
 void peers_task::merge_entry_records(entry_records_received const& received_records)
 {
-    std::map<instance_name, listed_member> merged_entries;
-    if (!received_records.is_full_list) {
-        for (listed_member const& each : directory_.list())
-            merged_entries.emplace(each.instance, each);
-    }
-    for (listed_member const& each : received_records.entries) {
-        if (each.leaving)
-            merged_entries.erase(each.instance);
-        else
-            merged_entries.insert_or_assign(each.instance, each);
-    }
-    std::vector<listed_member> listed;
-    listed.reserve(merged_entries.size());
-    for (auto& [name, each] : merged_entries)
-        listed.push_back(std::move(each));
+    std::vector<listed_member> const listed = burdockstep::merge_entry_records(
+        directory_.members(), received_records.entries, received_records.kind);
     directory_.apply_list(listed, context_.clock.now());
     // Datagrams of newly listed entries are accepted from now on.
     targets_.rebuild(context_.settings, directory_.members());
@@ -193,8 +180,8 @@
         send_heartbeats();
     }
     else if (auto const* const applied_directives = std::get_if<directives_applied>(&new_event)) {
-        bool const is_newer = applied_directives->version > directives_version_;
-        directives_version_ = std::max(directives_version_, applied_directives->version);
+        bool const is_newer = applied_directives->position > directives_position_;
+        directives_position_ = std::max(directives_position_, applied_directives->position);
         if (is_newer)
             send_heartbeats();
     }
--- a/services/burdockstep_gateway/peers/peers_task.hpp
+++ b/services/burdockstep_gateway/peers/peers_task.hpp
@@ -49,7 +49,7 @@
     std::map<instance_name, wire::member_state> logged_states_;
     wire::member_state own_state_ = wire::member_state::serving;
     configuration_version configuration_version_;
-    std::uint64_t directives_version_ = 0;
+    store_position directives_position_;
     timer publish_timer_;
     bool publication_scheduled_ = false;
     time_point last_published_at_;
--- a/tests/fuzz/platform_documents_target.cpp
+++ b/tests/fuzz/platform_documents_target.cpp
@@ -31,8 +31,8 @@
             require(registration.at.port != 0);
             require(registration.slots.get() > 0 && registration.slots.get() <= 65'535);
             require(registration.cold_left >= duration::zero());
-            for (wire::registry_update_message const& each :
-                 make_registry_update_pieces(1, 2, {{.name = name, .registration = registration}}))
+            for (wire::registry_update_message const& each : make_registry_update_pieces(
+                     {}, {}, {{.name = name, .registration = registration}}))
                 require(wire::encode(each).size() <= wire::max_datagram_bytes);
             return {};
         },
--- a/tests/fuzz/wire_target.cpp
+++ b/tests/fuzz/wire_target.cpp
@@ -30,14 +30,20 @@
     beat.sender.instance = wire::name_text("entry-1");
     beat.member_updates.add({.instance = wire::name_text("entry-2"), .incarnation = 3});
     beat.leaving.add({.name = wire::registry_text("u1"), .started_ms = 99, .age_ms = 12});
-    wire::registry_update_message update{.after = 1, .version = 2, .changes = {}};
+    wire::registry_update_message update{
+        .after = {.era = store_era(1), .version = store_version(1)},
+        .up_to = {.era = store_era(1), .version = store_version(2)},
+        .changes = {}};
     update.changes.add({.name = wire::registry_text("u1"),
                         .service = wire::registry_text("s"),
                         .place = wire::registry_text("p"),
                         .slots = 3});
     wire::slot_report report{.instance = wire::name_text("entry-1"), .counts = {}};
     report.counts.add({.upstream = 5, .under_way = 2});
-    wire::entries_update_message entries{.after = 1, .version = 2, .entries = {}};
+    wire::entries_update_message entries{
+        .after = {.era = store_era(1), .version = store_version(1)},
+        .up_to = {.era = store_era(1), .version = store_version(2)},
+        .entries = {}};
     entries.entries.add({.instance = wire::name_text("entry-1")});
     return {wire::encode(beat),
             wire::encode(update),
--- a/tests/unit/entries_update_test.cpp
+++ b/tests/unit/entries_update_test.cpp
@@ -3,6 +3,7 @@
 
 #include "tests/fakes/harness.hpp"
 #include "tests/fakes/listed_members.hpp"
+#include "tests/fakes/store_positions.hpp"
 
 using namespace burdockstep;
 using namespace burdockstep::testing;
@@ -15,17 +16,18 @@
     changed[0].place = place_name("brest");
     changed[0].callers = {.ip = 5, .port = 8641};
     changed[1].leaving = true;
-    wire::entries_update_message const update = make_entries_update(4, 9, changed);
-    CHECK_EQUAL(4U, update.after);
-    CHECK_EQUAL(9U, update.version);
+    wire::entries_update_message const update =
+        make_entries_update(at_version(4), at_version(9), changed);
+    CHECK(update.after == at_version(4));
+    CHECK(update.up_to == at_version(9));
     CHECK(update.complete);
     CHECK(entries_in_update(update) == changed);
 }
 
 TEST(entries_update_message, update_with_too_many_entries_is_marked_incomplete)
 {
-    CHECK(make_entries_update(1, 2, sample_members(5)).complete);
-    CHECK_FALSE(make_entries_update(1, 2, sample_members(6)).complete);
+    CHECK(make_entries_update(at_version(1), at_version(2), sample_members(5)).complete);
+    CHECK_FALSE(make_entries_update(at_version(1), at_version(2), sample_members(6)).complete);
 }
 
 TEST(entries_update_message, largest_update_fits_in_a_datagram)
@@ -37,6 +39,7 @@
         each.place = place_name(longest_name);
         each.region = region_name(longest_name);
     }
-    std::string const bytes = wire::encode(make_entries_update(1, 2, largest_entries));
+    std::string const bytes =
+        wire::encode(make_entries_update(at_version(1), at_version(2), largest_entries));
     CHECK(bytes.size() <= wire::max_datagram_bytes);
 }
--- a/tests/unit/malformed_registration_test.cpp
+++ b/tests/unit/malformed_registration_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/platform_dialect.hpp"
 
 #include "tests/fakes/harness.hpp"
+#include "tests/fakes/store_positions.hpp"
 
 #include <string>
 
@@ -136,7 +137,8 @@
     }
     std::size_t sent_changes = 0;
     registry_update_assembler assembler;
-    for (wire::registry_update_message const& each : make_registry_update_pieces(1, 2, changes)) {
+    for (wire::registry_update_message const& each :
+         make_registry_update_pieces(at_version(1), at_version(2), changes)) {
         std::string const bytes = wire::encode(each);
         CHECK(bytes.size() <= wire::max_datagram_bytes);
         sent_changes += each.changes.get().size();
--- a/tests/unit/registry_update_test.cpp
+++ b/tests/unit/registry_update_test.cpp
@@ -4,6 +4,7 @@
 
 #include "tests/fakes/harness.hpp"
 #include "tests/fakes/routing_samples.hpp"
+#include "tests/fakes/store_positions.hpp"
 
 using namespace burdockstep;
 using namespace burdockstep::testing;
@@ -79,8 +80,10 @@
     draining.registration->state = upstream_state::draining;
     draining.registration->cold_left = ms(700);
     registration_change const removal{.name = upstream_name("u2"), .registration = {}};
-    auto const bytes = wire::encode(
-        make_registry_update_pieces(5, 9, {draining, removal, change_for_upstream(3)}).front());
+    auto const bytes =
+        wire::encode(make_registry_update_pieces(at_version(5), at_version(9),
+                                                 {draining, removal, change_for_upstream(3)})
+                         .front());
     CHECK(bytes.size() <= wire::max_datagram_bytes);
     auto const decoded = wire::decode(bytes);
     CHECK(static_cast<bool>(decoded));
@@ -102,11 +105,12 @@
         many_changes.push_back(change_for_upstream(i));
         many_changes.back().registration->service = service_name(std::string(40, 's'));
     }
-    auto const pieces = make_registry_update_pieces(1, 2, many_changes);
+    auto const pieces = make_registry_update_pieces(at_version(1), at_version(2), many_changes);
     CHECK(pieces.size() > 1);
     // The pieces arrive in reverse order, interleaved with those of another reader, and one of them
     // arrives twice.
-    auto const pieces_of_other_reader = make_registry_update_pieces(0, 2, many_changes);
+    auto const pieces_of_other_reader =
+        make_registry_update_pieces(at_version(0), at_version(2), many_changes);
     registry_update_assembler assembler;
     std::optional<assembled_registry_update> assembled;
     for (std::size_t i = pieces.size(); i-- > 0;) {
@@ -120,8 +124,8 @@
     }
     CHECK(assembled.has_value());
     CHECK(assembled->complete);
-    LONGS_EQUAL(1, assembled->after.get());
-    LONGS_EQUAL(2, assembled->version.get());
+    CHECK(assembled->after == at_version(1));
+    CHECK(assembled->up_to == at_version(2));
     LONGS_EQUAL(many_changes.size(), assembled->changes.size());
     for (std::size_t i = 0; i < many_changes.size(); ++i)
         CHECK(assembled->changes[i].registration == many_changes[i].registration);
@@ -132,7 +136,7 @@
     std::vector<registration_change> many_changes;
     for (unsigned i = 1; i <= 200; ++i)
         many_changes.push_back(change_for_upstream(i));
-    auto const pieces = make_registry_update_pieces(1, 2, many_changes);
+    auto const pieces = make_registry_update_pieces(at_version(1), at_version(2), many_changes);
     LONGS_EQUAL(1, pieces.size());
     CHECK(!pieces.front().complete);
     CHECK(wire::encode(pieces.front()).size() <= wire::max_datagram_bytes);
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -16,6 +16,7 @@
                                 .heartbeat_number = 9,
                                 .configuration = 3};
     heartbeat_message.head = {.version = 3, .document = digest_of("text")};
+    heartbeat_message.directives = {.era = store_era(2), .version = store_version(40)};
     heartbeat_message.member_updates.add(heartbeat_message.sender);
     heartbeat_message.leaving.add(
         {.name = wire::registry_text("levels-brest-1"), .started_ms = 99, .age_ms = 12});
@@ -89,7 +90,7 @@
 
 TEST(wire, bytes_that_are_no_bool_or_known_state_are_rejected)
 {
-    wire::entries_update_message update{.after = 1, .version = 2, .entries = {}};
+    wire::entries_update_message update{.entries = {}};
     update.entries.add({.instance = wire::name_text("armor-2")});
     // The last byte tells whether the instance is leaving.
     std::string bool_out_of_range = wire::encode(update);
@@ -99,7 +100,7 @@
     wire::heartbeat heartbeat_message;
     heartbeat_message.sender.state = static_cast<wire::member_state>(3);
     CHECK(is_rejected_as_malformed(wire::encode(heartbeat_message)));
-    wire::registry_update_message registry_update{.after = 1, .version = 2, .changes = {}};
+    wire::registry_update_message registry_update{.changes = {}};
     registry_update.changes.add({.state = static_cast<wire::registration_state>(3)});
     CHECK(is_rejected_as_malformed(wire::encode(registry_update)));
 }
