meta: mutations of what follows a restored copy of the store

Each was tried on the tree: the unit groups store_restored or platform_store fail. meta/prove_red.sh itself, which builds a copy and runs the simulation too, was not run.

--- a/meta/prove_red.sh
+++ b/meta/prove_red.sh
@@ -124,6 +124,21 @@
     "if (call_bytes_ > limits_.max_call_bytes)" "if (false)"
 break_one "gateway: the time of a call isn't limited" libraries/http1/client_connection.cpp \
     "if (options_->call_timeout > duration::zero())" "if (false)"
+break_one "gateway: a removed upstream returns with an older copy of the store" \
+    libraries/discovery/upstream_registry.cpp \
+    "if (!is_new && is_outdated_copy(known, registration)) {" \
+    "if (!is_new && is_outdated_copy(known, registration) && false) {"
+break_one "gateway: what an older copy of the store lacks counts as gone at once" \
+    libraries/discovery/upstream_registry.cpp \
+    "if (item.second.in_restored_copy && in_recovery)" \
+    "if (item.second.in_restored_copy && in_recovery && false)"
+break_one "gateway: an evacuation that an older copy of the store lacks ends at once" \
+    libraries/discovery/evacuations.cpp "if (era > era_) {" "if (era > era_ && false) {"
+break_one "gateway: answers of a replaced history are applied" libraries/discovery/store_history.cpp \
+    "if (answered.era < known.era || answered.era < newest)" \
+    "if (answered.era < known.era && answered.era < newest && false)"
+break_one "gateway: the era in the store's answers is not read" platform/platform_store.cpp \
+    "return store_era(is_number ? era : 0);" "return store_era(is_number ? 0 * era : 0);"
 break_one "gateway: the memory of all answers isn't limited" libraries/http1/client.cpp \
     "if (buffered_bytes_ <= limits_.max_buffered_bytes)" "if (true)"
 break_one "a drained region runs requests again when the others have no room" \
