http1: tests that an answer cut at any byte is never taken as whole

Asked by a report of other operators: an upstream stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body. It can't happen here: at the end of a stream http_parser rejects every state but "between messages" and "in a body without a length", and the client breaks the call unless the message ended. Only an answer without a length may end with an orderly close, and only behind its complete head. Such a body that is cut by an orderly close can't be told from a whole one.

--- a/tests/unit/http1_client_test.cpp
+++ b/tests/unit/http1_client_test.cpp
@@ -176,3 +176,30 @@
     LONGS_EQUAL(200, statuses.front());
     LONGS_EQUAL(500, statuses.back());
 }
+
+TEST(http1_client, answer_that_is_cut_and_closed_is_complete_only_if_nothing_is_missing)
+{
+    struct answer
+    {
+        std::string text;
+        std::size_t complete_from; ///< Number of bytes from which a close completes the answer.
+    };
+    std::string const interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+    std::string const chunked = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: "
+                                "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    std::string const lengthless_head = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nX-Last: a\r\n\r\n";
+    std::string const with_length = answer_with_own_id;
+    for (answer const& each :
+         {answer{.text = with_length, .complete_from = with_length.size()},
+          answer{.text = chunked, .complete_from = chunked.size()},
+          answer{.text = lengthless_head + "abc", .complete_from = lengthless_head.size()},
+          answer{.text = interim + with_length,
+          .complete_from = interim.size() + with_length.size()}}) {
+        for (std::size_t size = 0; size <= each.text.size(); ++size) {
+            std::string const sent = each.text.substr(0, size);
+            bool const is_complete =
+                call_raw_server(sent, raw_server_end::close).end == http1::call_end::complete;
+            CHECK_TEXT(is_complete == (size >= each.complete_from), sent.c_str());
+        }
+    }
+}
