http1: a connection with the beginning of a copy behind an answer ends

Callers could wait in vain, or get the upstream's earlier refusal: a faulty upstream sends an answer once more behind the first, and only the beginning of the copy arrives with it. The connection was kept as idle, because only a whole head behind an answer was noticed, and the next call's answer was read behind the beginning of the copy, as part of the same message. Whole copies, copies while idle and copies in front of the next answer were told apart already; two of the new tests show that for refusals, with the earlier id and without any.

Now any byte of a further message behind a complete answer ends the connection.

Red before (each length of the beginning is tried; the first is one byte): TEST(kept_connection, beginning_of_a_copy_behind_an_answer_ends_its_connection) CHECK(result.end == http1::call_end::complete) failed Green after, with the two others of the group.

--- a/libraries/http1/client_connection.cpp
+++ b/libraries/http1/client_connection.cpp
@@ -96,7 +96,7 @@
     bool const readable = reader_.read(bytes);
     if (!readable && options_)
         end_call(call_end::broken);
-    else if (!options_ && (!readable || got_unrequested_answer_))
+    else if (!options_ && (!readable || got_unrequested_answer_ || reader_.is_inside_message()))
         owner_.on_idle_connection_end(*this);
 }
 
--- /dev/null
+++ b/tests/unit/kept_connection_test.cpp
@@ -0,0 +1,133 @@
+#include "libraries/http1/client.hpp"
+
+#include "tests/fakes/harness.hpp"
+#include "tests/fakes/scripted_upstream.hpp"
+
+#include <fmt/format.h>
+
+#include <memory>
+#include <optional>
+
+using namespace burdockstep;
+using namespace burdockstep::testing;
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_misdirected = 421;
+constexpr int status_unavailable = 503;
+
+std::string answer_text(int status, std::string_view id, std::string_view body)
+{
+    std::string const id_line = id.empty() ? std::string() : fmt::format("X-Id: {}\r\n", id);
+    std::string_view const refusal_line = status == status_ok ? "" : "X-Not-Run: 1\r\n";
+    return fmt::format("HTTP/1.1 {} Status\r\n{}{}Content-Length: {}\r\n\r\n{}", status,
+                       refusal_line, id_line, body.size(), body);
+}
+
+http1::call_options call_with_id(address const& to, std::string const& id)
+{
+    http1::call_options options{.to = to,
+                                .headers = {{.name = "x-id", .value = id}},
+                                .body = {},
+                                .answer_id = {.name = "x-id", .value = id},
+                                .answer_timeout = ms(200)};
+    if (id.empty())
+        options.answer_id = {};
+    return options;
+}
+
+/// Reacts to the n-th request with the n-th reaction.
+scripted_upstream::script in_order(std::vector<upstream_reaction> reactions)
+{
+    return
+        [reactions = std::move(reactions), next = std::size_t{0}](std::string const&, int) mutable {
+            return next < reactions.size() ? reactions[next++] : upstream_reaction{.closes = true};
+        };
+}
+
+} // namespace
+
+TEST_GROUP(kept_connection)
+{
+    event_loop loop;
+    system_clock_source clock;
+    std::unique_ptr<http1::client> client =
+        std::make_unique<http1::client>(loop, clock, http1::client_limits{});
+
+    void teardown() override
+    {
+        client.reset();
+    }
+
+    http1::call_result call_and_wait(http1::call_options options)
+    {
+        std::optional<http1::call_result> reported_result;
+        client->start(std::move(options), [&](http1::call_result result) {
+            reported_result = std::move(result);
+            loop.stop();
+        });
+        timer time_limit(loop);
+        time_limit.start_once(std::chrono::seconds(5), [&] { loop.stop(); });
+        loop.run();
+        CHECK_TEXT(reported_result.has_value(), "the call did not end within 5 s");
+        return *reported_result;
+    }
+
+    /// Calls with id "first", which is refused, then with `second_id`, which is run. Returns the
+    /// result of the second call.
+    http1::call_result call_twice(std::string const& second_id,
+                                  std::vector<std::string> first_segments,
+                                  std::vector<std::string> second_segments)
+    {
+        scripted_upstream const upstream(in_order(
+            {{.segments = std::move(first_segments)}, {.segments = std::move(second_segments)}}));
+        auto const first = call_and_wait(call_with_id(upstream.at(), "first"));
+        CHECK(first.end == http1::call_end::complete);
+        LONGS_EQUAL(status_unavailable, first.head.status);
+        auto result = call_and_wait(call_with_id(upstream.at(), second_id));
+        client = std::make_unique<http1::client>(loop, clock, http1::client_limits{});
+        return result;
+    }
+
+    void check_is_answer_to_the_second_call(http1::call_result const& result)
+    {
+        CHECK(result.end == http1::call_end::complete);
+        LONGS_EQUAL(status_ok, result.head.status);
+        STRCMP_EQUAL("second", result.body.c_str());
+    }
+};
+
+TEST(kept_connection, copy_of_an_earlier_refusal_is_not_the_answer_to_a_later_call)
+{
+    std::string const refusal = answer_text(status_unavailable, "first", "busy");
+    std::string const own = answer_text(status_ok, "second", "second");
+    check_is_answer_to_the_second_call(call_twice("second", {refusal}, {refusal + own}));
+    check_is_answer_to_the_second_call(call_twice("second", {refusal}, {refusal, own}));
+    check_is_answer_to_the_second_call(
+        call_twice("second", {refusal}, {refusal.substr(0, 20), refusal.substr(20), own}));
+    check_is_answer_to_the_second_call(call_twice("second", {refusal + refusal}, {own}));
+    check_is_answer_to_the_second_call(call_twice("second", {refusal, refusal}, {own}));
+    std::string const misdirected = answer_text(status_misdirected, "first", "");
+    check_is_answer_to_the_second_call(call_twice("second", {refusal}, {misdirected, own}));
+}
+
+TEST(kept_connection, copy_without_an_id_is_not_the_answer_to_a_later_call)
+{
+    std::string const refusal = answer_text(status_unavailable, "first", "busy");
+    std::string const copy = answer_text(status_unavailable, "", "busy");
+    std::string const own = answer_text(status_ok, "second", "second");
+    check_is_answer_to_the_second_call(call_twice("second", {refusal}, {copy + own}));
+    check_is_answer_to_the_second_call(call_twice("second", {refusal}, {copy, own}));
+}
+
+TEST(kept_connection, beginning_of_a_copy_behind_an_answer_ends_its_connection)
+{
+    std::string const refusal = answer_text(status_unavailable, "first", "busy");
+    std::string const own = answer_text(status_ok, "second", "second");
+    for (std::size_t size = 1; size <= refusal.size(); ++size) {
+        auto const result = call_twice("second", {refusal + refusal.substr(0, size)}, {own});
+        check_is_answer_to_the_second_call(result);
+        CHECK_TEXT(!result.on_reused_connection, fmt::format("{} bytes", size).c_str());
+    }
+}
