http1: the cut copy of a refusal and the answer behind it aren't one answer

Callers could be told "not run, try again", and the request be sent to another upstream, while the upstream ran it: on a kept connection a faulty upstream wrote the beginning of an earlier answer, cut in its reason phrase or in a header's value, and then the answer to the present request. The parser read both as one head: the status and X-Not-Executed of the refusal, with the id, body and signature of the answer. A 421 cut in its reason phrase did the same, and a 200 cut there in front of a failure made a success of it. The check of the id can't notice it, since the id is the right one.

The head of a spliced answer always holds the second status line, in the reason phrase or in a value (elsewhere the parser rejects it). Such a head is malformed now, so the send counts as perhaps run and the connection ends. A value like "HTTP/1.1 proxy" (Via) stays valid.

--- a/libraries/http1/message_reader.cpp
+++ b/libraries/http1/message_reader.cpp
@@ -28,6 +28,26 @@
     return text;
 }
 
+bool is_digit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+/// True if the text contains a version and the first digit of a status, as in "HTTP/1.1 2".
+bool contains_status_line(std::string_view text)
+{
+    constexpr std::string_view protocol = "HTTP/";
+    constexpr std::size_t rest_size = std::string_view("1.1 2").size();
+    for (auto at = text.find(protocol); at != std::string_view::npos;
+         at = text.find(protocol, at + 1)) {
+        std::string_view const rest = text.substr(at + protocol.size(), rest_size);
+        if (rest.size() == rest_size && is_digit(rest[0]) && rest[1] == '.' && is_digit(rest[2]) &&
+            rest[3] == ' ' && is_digit(rest[4]))
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 message_reader::message_reader(message_kind kind, std::size_t max_head_bytes,
@@ -46,6 +66,7 @@
         new_settings.on_message_begin = [](http_parser* parser) {
             message_reader& reader = reader_of(parser);
             reader.head_ = {};
+            reader.reason_phrase_.clear();
             reader.inside_message_ = true;
             reader.reading_value_ = false;
             return continue_parsing;
@@ -54,6 +75,10 @@
             reader_of(parser).head_.target.append(chunk, size);
             return reader_of(parser).count_head_bytes(size);
         };
+        new_settings.on_status = [](http_parser* parser, char const* chunk, std::size_t size) {
+            reader_of(parser).reason_phrase_.append(chunk, size);
+            return reader_of(parser).count_head_bytes(size);
+        };
         new_settings.on_header_field = [](http_parser* parser, char const* chunk,
                                           std::size_t size) {
             message_reader& reader = reader_of(parser);
@@ -111,10 +136,19 @@
     return abort_parsing;
 }
 
+bool message_reader::has_status_line_inside_head() const
+{
+    return contains_status_line(reason_phrase_) ||
+           std::any_of(head_.headers.begin(), head_.headers.end(),
+                       [](http_header const& each) { return contains_status_line(each.value); });
+}
+
 int message_reader::complete_head()
 {
     store_header();
     head_bytes_ = 0;
+    if (kind_ == message_kind::answers && has_status_line_inside_head())
+        return abort_parsing;
     // Protocol upgrades aren't supported: the rest is parsed as an ordinary message.
     parser_.upgrade = 0;
     if (kind_ == message_kind::requests)
--- a/libraries/http1/message_reader.hpp
+++ b/libraries/http1/message_reader.hpp
@@ -50,8 +50,9 @@
 };
 
 /// Splits a byte stream into messages. Ambiguous framing (two lengths, a length together with
-/// chunked encoding, an unknown transfer encoding) is malformed. After a fault nothing more is
-/// read.
+/// chunked encoding, an unknown transfer encoding) is malformed, as is an answer with a status line
+/// inside its head: the head of one answer was cut there, and another follows. After a fault
+/// nothing more is read.
 class message_reader
 {
 public:
@@ -78,6 +79,7 @@
     void store_header();
     int count_head_bytes(std::size_t size);
     int complete_head();
+    bool has_status_line_inside_head() const;
 
     message_listener& listener_;
     http_parser parser_{};
@@ -87,6 +89,7 @@
     message_head head_;
     std::string header_name_;
     std::string header_value_;
+    std::string reason_phrase_;
     bool reading_value_ = false;
     bool inside_message_ = false;
     bool stopped_ = false;
--- a/tests/unit/message_reader_test.cpp
+++ b/tests/unit/message_reader_test.cpp
@@ -56,3 +56,16 @@
         CHECK_TEXT(is_whole_answer(answer.substr(0, size)) == (size >= head.size()),
                    answer.substr(0, size).c_str());
 }
+
+TEST(message_reader, answer_with_a_status_line_inside_its_head_is_malformed)
+{
+    std::string const rest = "\r\nContent-Length: 0\r\n\r\n";
+    for (char const* start :
+         {"HTTP/1.1 503 HTTP/1.1 200 OK", "HTTP/1.1 503 Service UnavailHTTP/1.1 200 OK",
+          "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.HTTP/1.1 200 OK",
+          "HTTP/1.1 503 Service Unavailable\r\nX-A: HTTP/HTTP/1.0 200 OK\r\nX-B: 1"})
+        CHECK_TEXT(!is_whole_answer(start + rest), start);
+    for (char const* start : {"HTTP/1.1 200 HTTP", "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy",
+                              "HTTP/1.1 200 OK\r\nX-A: HTTP/1.1 "})
+        CHECK_TEXT(is_whole_answer(start + rest), start);
+}
