http1: calls whose answers a late copy could pass for get a new connection

Callers got an earlier answer as their own, a refusal ("not run, try again") among them, while the upstream ran the request: a faulty upstream wrote an earlier answer once more on a kept connection, and the id couldn't tell the two apart. That was so for a request without an id, which took any answer, and for a caller's request with the id of an earlier one. (Our own further sends were ruled out: they never go to an upstream that was tried before.)

Requests without an id are sent on new connections now, as probes were already by a zero idle time, which `on_new_connection` replaces. A connection keeps the hashes of the ids it has carried, and never carries one twice; it isn't used again after 1,000 of them.

Changed tests: four of http1_client made all their calls with one id, which now never share a connection: one hung (its server takes one connection at a time), three would have passed without checking anything. Their later calls have ids of their own; the checks are the same.

--- a/libraries/http1/client.cpp
+++ b/libraries/http1/client.cpp
@@ -93,7 +93,8 @@
         time_point const now = clock_.now();
         client_connection const& most_recently_used = *found->second.back();
         if (now >= most_recently_used.expires_at() ||
-            now - most_recently_used.idle_since() > options.max_idle_time) {
+            now - most_recently_used.idle_since() > options.max_idle_time ||
+            options.on_new_connection || most_recently_used.has_carried(options.answer_id)) {
             ++counters_.opened_idle_too_long;
             return nullptr;
         }
--- a/libraries/http1/client.hpp
+++ b/libraries/http1/client.hpp
@@ -49,6 +49,9 @@
     /// belongs to another request and is skipped. An answer without the field is accepted only on
     /// a new connection. An empty name accepts any answer.
     http_header answer_id;
+    /// Never reuses a connection, on which a late answer to an earlier call might arrive. For calls
+    /// whose answers carry no id.
+    bool on_new_connection = false;
     /// Idle connections that were unused for longer than this are not reused for the call.
     duration max_idle_time = std::chrono::hours(1);
     duration connect_timeout = std::chrono::milliseconds(500);
@@ -72,6 +75,9 @@
     /// Maximum size of the incomplete bodies of all calls together. Beyond it, the call with the
     /// largest one is broken.
     std::size_t max_buffered_bytes = std::size_t{64} * 1024 * 1024;
+    /// A connection that has carried this many calls with an answer id is not reused. It keeps
+    /// their ids, so that it never carries two calls with the same one.
+    std::size_t max_ids_per_connection = 1'000;
     /// Maximum number of idle connections per address.
     std::size_t max_idle_connections = 32;
     /// An idle connection is closed this long before the server's announced keep-alive timeout.
@@ -94,7 +100,8 @@
     std::uint64_t connections_reused = 0;
     /// New connections because none to the address was idle.
     std::uint64_t opened_none_idle = 0;
-    /// New connections because the idle ones had expired or were idle for too long for the call.
+    /// New connections because the idle ones had expired, were idle for too long for the call, or
+    /// might get a late answer that can't be told from the call's.
     std::uint64_t opened_idle_too_long = 0;
 };
 
--- a/libraries/http1/client_connection.cpp
+++ b/libraries/http1/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "libraries/http1/client_connection.hpp"
 
+#include "libraries/core/digest.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -37,6 +39,8 @@
     result_.on_reused_connection = has_ended_a_call_;
     on_any_head_ = options_->on_any_head;
     call_bytes_ = 0;
+    if (!options_->answer_id.name.empty())
+        carried_ids_.insert(hash_of(options_->answer_id.value));
     if (options_->call_timeout > duration::zero())
         call_timer_.start_once(options_->call_timeout, [this] { break_call(); });
     if (connected_) {
@@ -100,6 +104,11 @@
         owner_.on_idle_connection_end(*this);
 }
 
+bool client_connection::has_carried(http_header const& answer_id) const
+{
+    return !answer_id.name.empty() && carried_ids_.contains(hash_of(answer_id.value));
+}
+
 bool client_connection::is_own_answer(message_head const& head) const
 {
     if (options_->answer_id.name.empty())
@@ -206,6 +215,7 @@
     bool const connection_stays_open =
         end == call_end::complete && connected_ && result_.head.keep_alive;
     bool const reusable = connection_stays_open && !reuse_disallowed_ && !has_skipped_answer_ &&
+                          carried_ids_.size() < limits_.max_ids_per_connection &&
                           socket_.unsent_bytes() == 0;
     if (!reusable)
         reader_.stop();
--- a/libraries/http1/client_connection.hpp
+++ b/libraries/http1/client_connection.hpp
@@ -5,6 +5,7 @@
 #include "libraries/http1/stream_socket.hpp"
 
 #include <optional>
+#include <unordered_set>
 
 namespace burdockstep::http1 {
 
@@ -43,6 +44,9 @@
     call_number call() const { return call_; }
     address const& to() const { return to_; }
     time_point idle_since() const { return idle_since_; }
+    /// True if an earlier call on this connection had the same answer id: a second answer to that
+    /// call could be taken for the answer to the next one.
+    bool has_carried(http_header const& answer_id) const;
     /// Time at which the idle connection is to be closed.
     time_point expires_at() const { return expires_at_; }
 
@@ -72,6 +76,7 @@
     std::optional<call_options> options_; ///< Options of the current call; empty while idle.
     call_result result_;
     std::function<void(message_head const&)> on_any_head_; ///< From the last call's options.
+    std::unordered_set<std::uint64_t> carried_ids_; ///< Hashes of the answer ids of all calls.
     std::size_t call_bytes_ = 0; ///< Bytes that have arrived during the current call.
     time_point connect_started_at_;
     time_point idle_since_;
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -113,13 +113,15 @@
     if (found == exchanges_.end())
         return;
     http1::server_request const& request = found->second->request();
+    http_header const answer_id = dialect_.answer_id(request.head);
     http1::call_options call{
         .to = command.to,
         .method = request.head.method,
         .target = request.head.target,
         .headers = dialect_.upstream_headers(request.head, command.upstream, command.time_left),
         .body = request.body,
-        .answer_id = dialect_.answer_id(request.head),
+        .answer_id = answer_id,
+        .on_new_connection = answer_id.name.empty(),
         .max_idle_time = command.longest_idle,
         .connect_timeout = command.connect_timeout,
         .on_any_head = notice_reader(command.upstream, command.incarnation)};
@@ -227,7 +229,7 @@
                              .headers = {},
                              .body = {},
                              .answer_id = {},
-                             .max_idle_time = duration::zero(),
+                             .on_new_connection = true,
                              .connect_timeout = command.timeout,
                              .answer_timeout = command.timeout,
                              .call_timeout = 2 * command.timeout,
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -148,6 +148,20 @@
     assert deployment.call(deployment.gateways[2], "/none/", "a3")[0] == 404
 
 
+def check_requests_without_an_id_are_sent_on_new_connections(deployment):
+    """An answer without an id can't be told from a late copy of an earlier one."""
+    gateway = deployment.gateways[0]
+    for number in range(2):
+        assert deployment.call(gateway, "/read/x", f"i{number}")[0] == 200
+    before = metric(gateway, "upstream_connections_reused_total")
+    for _ in range(3):
+        status = http_call("GET", f"http://127.0.0.1:{gateway['callers']}/read/x", None,
+                           {"Host": "h", "X-Deadline-Ms": "2500"})[0]
+        assert status == 200, status
+    after = metric(gateway, "upstream_connections_reused_total")
+    assert after == before, f"{after - before} requests without an id on kept connections"
+
+
 def check_pipelined_requests_are_answered_in_order(deployment):
     with socket.create_connection(("127.0.0.1", deployment.gateways[0]["callers"]), 5) as caller:
         caller.settimeout(5)
@@ -389,6 +403,7 @@
 def main():
     with GatewayDeployment(sys.argv[1]) as deployment:
         for check in (check_requests_reach_upstreams_of_their_route,
+                      check_requests_without_an_id_are_sent_on_new_connections,
                       check_pipelined_requests_are_answered_in_order,
                       check_new_routes_replace_old_ones_on_all_gateways,
                       check_draining_and_removed_upstreams_get_no_requests,
--- a/tests/unit/http1_client_test.cpp
+++ b/tests/unit/http1_client_test.cpp
@@ -11,16 +11,20 @@
 
 namespace {
 
-http1::call_options call_to(address const& at)
+http1::call_options call_to(address const& at, std::string const& id = "mine")
 {
     return {.to = at,
-            .headers = {{.name = "x-id", .value = "mine"}},
+            .headers = {{.name = "x-id", .value = id}},
             .body = {},
-            .answer_id = {.name = "x-id", .value = "mine"}};
+            .answer_id = {.name = "x-id", .value = id}};
 }
 
 constexpr char const* answer_with_own_id =
     "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 3\r\n\r\nabc";
+constexpr char const* answer_with_second_id =
+    "HTTP/1.1 200 OK\r\nX-Id: second\r\nContent-Length: 3\r\n\r\nabc";
+constexpr char const* answer_with_third_id =
+    "HTTP/1.1 200 OK\r\nX-Id: third\r\nContent-Length: 3\r\n\r\nabc";
 constexpr char const* answer_with_length_and_chunks =
     "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
     "0\r\n\r\n";
@@ -111,24 +115,24 @@
 TEST(http1_client, answer_to_another_request_is_skipped_and_its_connection_not_reused)
 {
     raw_server const server(
-        {{answer_with_own_id, std::string(answer_with_another_id) + answer_with_own_id},
-         {answer_with_own_id}},
+        {{answer_with_own_id, std::string(answer_with_another_id) + answer_with_second_id},
+         {answer_with_third_id}},
         raw_server_end::stay_open);
     CHECK(call_and_wait(call_to(server.at())).end == http1::call_end::complete);
-    auto const second = call_and_wait(call_to(server.at()));
+    auto const second = call_and_wait(call_to(server.at(), "second"));
     CHECK(second.on_reused_connection);
     STRCMP_EQUAL("abc", second.body.c_str());
     LONGS_EQUAL(1, client->counters().answers_skipped);
-    CHECK(!call_and_wait(call_to(server.at())).on_reused_connection);
+    CHECK(!call_and_wait(call_to(server.at(), "third")).on_reused_connection);
 }
 
 TEST(http1_client, connection_is_closed_when_bytes_follow_an_answer)
 {
     raw_server const server(
-        {{std::string(answer_with_own_id) + answer_with_another_id}, {answer_with_own_id}},
+        {{std::string(answer_with_own_id) + answer_with_another_id}, {answer_with_second_id}},
         raw_server_end::stay_open);
     CHECK(call_and_wait(call_to(server.at())).end == http1::call_end::complete);
-    auto const second = call_and_wait(call_to(server.at()));
+    auto const second = call_and_wait(call_to(server.at(), "second"));
     CHECK(!second.on_reused_connection);
     STRCMP_EQUAL("abc", second.body.c_str());
 }
@@ -138,17 +142,17 @@
     for (char const* header : {"Connection: close", "Keep-Alive: timeout=0"}) {
         std::string const answer = std::string("HTTP/1.1 200 OK\r\nX-Id: mine\r\n") + header +
                                    "\r\nContent-Length: 3\r\n\r\nabc";
-        raw_server const server({{answer}, {answer_with_own_id}}, raw_server_end::close);
+        raw_server const server({{answer}, {answer_with_second_id}}, raw_server_end::close);
         CHECK(call_and_wait(call_to(server.at())).end == http1::call_end::complete);
-        CHECK_TEXT(!call_and_wait(call_to(server.at())).on_reused_connection, header);
+        CHECK_TEXT(!call_and_wait(call_to(server.at(), "second")).on_reused_connection, header);
     }
 }
 
 TEST(http1_client, connection_idle_beyond_the_limit_of_a_call_is_not_reused)
 {
-    raw_server const server({{answer_with_own_id}, {answer_with_own_id}}, raw_server_end::close);
+    raw_server const server({{answer_with_own_id}, {answer_with_second_id}}, raw_server_end::close);
     CHECK(call_and_wait(call_to(server.at())).end == http1::call_end::complete);
-    auto options = call_to(server.at());
+    auto options = call_to(server.at(), "second");
     options.max_idle_time = duration::zero() - std::chrono::microseconds(1);
     CHECK(!call_and_wait(std::move(options)).on_reused_connection);
 }
--- a/tests/unit/kept_connection_test.cpp
+++ b/tests/unit/kept_connection_test.cpp
@@ -121,6 +121,48 @@
     check_is_answer_to_the_second_call(call_twice("second", {refusal}, {copy, own}));
 }
 
+TEST(kept_connection, call_with_the_id_of_an_earlier_one_is_not_made_on_its_connection)
+{
+    std::string const refusal = answer_text(status_unavailable, "same", "busy");
+    std::string const own = answer_text(status_ok, "same", "second");
+    scripted_upstream const upstream([&](std::string const&, int connection) {
+        if (connection == 0)
+            return upstream_reaction{.segments = {refusal}};
+        return upstream_reaction{.segments = {own}};
+    });
+    CHECK(call_and_wait(call_with_id(upstream.at(), "same")).end == http1::call_end::complete);
+    check_is_answer_to_the_second_call(call_and_wait(call_with_id(upstream.at(), "same")));
+}
+
+TEST(kept_connection, connection_is_not_used_again_after_very_many_calls)
+{
+    scripted_upstream const upstream([](std::string const& request, int connection) {
+        std::size_t const start = request.find("x-id: ") + 6;
+        std::string const id = request.substr(start, request.find("\r\n", start) - start);
+        return upstream_reaction{
+            .segments = {answer_text(status_ok, id, fmt::format("{}", connection))}};
+    });
+    constexpr int more_calls_than_a_connection_carries = 1'100;
+    std::string last_connection;
+    for (int i = 0; i < more_calls_than_a_connection_carries; ++i)
+        last_connection = call_and_wait(call_with_id(upstream.at(), fmt::format("id{}", i))).body;
+    STRCMP_EQUAL("1", last_connection.c_str());
+}
+
+TEST(kept_connection, call_without_an_id_is_made_on_a_new_connection_where_that_is_asked_for)
+{
+    std::string const refusal = answer_text(status_unavailable, "first", "busy");
+    scripted_upstream const upstream([&](std::string const&, int connection) {
+        if (connection == 0)
+            return upstream_reaction{.segments = {refusal}};
+        return upstream_reaction{.segments = {answer_text(status_ok, "", "second")}};
+    });
+    CHECK(call_and_wait(call_with_id(upstream.at(), "first")).end == http1::call_end::complete);
+    auto options = call_with_id(upstream.at(), "");
+    options.on_new_connection = true;
+    check_is_answer_to_the_second_call(call_and_wait(std::move(options)));
+}
+
 TEST(kept_connection, beginning_of_a_copy_behind_an_answer_ends_its_connection)
 {
     std::string const refusal = answer_text(status_unavailable, "first", "busy");
