http1: an answer without the id of its call is never believed

Callers could be told "not run, try again" by an answer that names no request: on a new connection an answer without X-Request-Id was taken for the call's own, even behind a skipped answer to another one, while the upstream ran the request.

So an answer without it, or with another, belongs to no request of ours: it's skipped, and its connection is not used again. An upstream that sent no id at all would let requests end at their deadline (504) or at its close (broken), never with a wrong answer.

Red before: TEST(kept_connection, answer_without_the_id_of_its_call_is_not_believed_on_a_new_connection) LONGS_EQUAL(status_ok, result.head.status) failed, expected 200 but was 503 TEST(kept_connection, answer_without_the_id_behind_one_to_another_call_is_not_believed) CHECK(result.end == http1::call_end::broken) failed Green after.

--- a/libraries/http1/client.hpp
+++ b/libraries/http1/client.hpp
@@ -45,9 +45,9 @@
     std::string target = "/";
     http_headers headers; ///< Without content-length and transfer-encoding.
     std::string body;
-    /// Header field that the answer must carry to match this request. An answer with another value
-    /// belongs to another request and is skipped. An answer without the field is accepted only on
-    /// a new connection. An empty name accepts any answer.
+    /// Header field that the answer must carry to match this request. An answer without it or with
+    /// another value belongs to no request or to another one, and is skipped. An empty name accepts
+    /// any answer. A value that is set isn't empty.
     http_header answer_id;
     /// Never reuses a connection, on which a late answer to an earlier call might arrive. For calls
     /// whose answers carry no id.
@@ -92,8 +92,8 @@
 struct client_counters
 {
     std::uint64_t connections_opened = 0;
-    /// Answers skipped as belonging to other requests: their `answer_id` header field doesn't match
-    /// the call or, on a reused connection, is missing. Interim answers (status 1xx) don't count.
+    /// Answers skipped as belonging to other requests: their `answer_id` header field is missing or
+    /// doesn't match the call. Interim answers (status 1xx) don't count.
     std::uint64_t answers_skipped = 0;
     /// Calls that were broken because their bodies together passed `max_buffered_bytes`.
     std::uint64_t answers_dropped_for_memory = 0;
--- a/libraries/http1/client_connection.cpp
+++ b/libraries/http1/client_connection.cpp
@@ -113,8 +113,6 @@
 {
     if (options_->answer_id.name.empty())
         return true;
-    if (!head.headers.contains(options_->answer_id.name))
-        return !has_ended_a_call_;
     return head.headers.find(options_->answer_id.name) == options_->answer_id.value;
 }
 
--- a/tests/unit/kept_connection_test.cpp
+++ b/tests/unit/kept_connection_test.cpp
@@ -121,6 +121,24 @@
     check_is_answer_to_the_second_call(call_twice("second", {refusal}, {copy, own}));
 }
 
+TEST(kept_connection, answer_without_the_id_of_its_call_is_not_believed_on_a_new_connection)
+{
+    std::string const without_id = answer_text(status_unavailable, "", "busy");
+    std::string const own = answer_text(status_ok, "second", "second");
+    scripted_upstream const upstream(in_order({{.segments = {without_id + own}}}));
+    check_is_answer_to_the_second_call(call_and_wait(call_with_id(upstream.at(), "second")));
+}
+
+TEST(kept_connection, answer_without_the_id_behind_one_to_another_call_is_not_believed)
+{
+    std::string const foreign = answer_text(status_unavailable, "other", "busy");
+    std::string const without_id = answer_text(status_unavailable, "", "busy");
+    scripted_upstream const upstream(
+        in_order({{.segments = {foreign + without_id}, .closes = true}}));
+    auto const result = call_and_wait(call_with_id(upstream.at(), "second"));
+    CHECK(result.end == http1::call_end::broken);
+}
+
 TEST(kept_connection, call_with_the_id_of_an_earlier_one_is_not_made_on_its_connection)
 {
     std::string const refusal = answer_text(status_unavailable, "same", "busy");
