http1: trailers don't become part of the next message's first header

A caller that sent a chunked body with trailers on a kept connection got a wrong answer to its next request there: the last trailer stayed in the reader and was put in front of the next message's first header ("X-Sum" and "Host" became "X-SumHost"), so the request had no host. The same went for upstreams: the next answer on the connection lost its id, was skipped, and the request ended at its deadline. A message now begins without anything of the one before.

Red before: TEST(message_reader, trailers_are_not_taken_for_headers_of_the_next_message) expected <second> but was <> TEST(kept_connection, trailers_of_an_answer_are_not_taken_for_headers_of_the_next_one) CHECK(result.end == http1::call_end::complete) failed Green after.

--- a/libraries/http1/client.hpp
+++ b/libraries/http1/client.hpp
@@ -47,7 +47,7 @@
     std::string body;
     /// Header field that the answer must carry to match this request. An answer without it or with
     /// another value belongs to no request or to another one, and is skipped. An empty name accepts
-    /// any answer. A value that is set isn't empty.
+    /// any answer; with a name, the value must not be empty.
     http_header answer_id;
     /// Never reuses a connection, on which a late answer to an earlier call might arrive. For calls
     /// whose answers carry no id.
--- a/libraries/http1/message_reader.cpp
+++ b/libraries/http1/message_reader.cpp
@@ -66,7 +66,11 @@
         new_settings.on_message_begin = [](http_parser* parser) {
             message_reader& reader = reader_of(parser);
             reader.head_ = {};
+            reader.head_bytes_ = 0;
             reader.reason_phrase_.clear();
+            // The last trailer of the message before.
+            reader.header_name_.clear();
+            reader.header_value_.clear();
             reader.inside_message_ = true;
             reader.reading_value_ = false;
             return continue_parsing;
--- a/tests/unit/kept_connection_test.cpp
+++ b/tests/unit/kept_connection_test.cpp
@@ -206,3 +206,12 @@
                    fmt::format("{} bytes", size).c_str());
     }
 }
+
+TEST(kept_connection, trailers_of_an_answer_are_not_taken_for_headers_of_the_next_one)
+{
+    std::string const with_trailers = "HTTP/1.1 503 Status\r\nX-Id: first\r\nTransfer-Encoding: "
+                                      "chunked\r\n\r\n4\r\nbusy\r\n0\r\nX-Sum: 1\r\n\r\n";
+    std::string const own =
+        "HTTP/1.1 200 Status\r\nX-Id: second\r\nContent-Length: 6\r\n\r\nsecond";
+    check_is_answer_to_the_second_call(call_twice("second", {with_trailers}, {own}));
+}
--- a/tests/unit/message_reader_test.cpp
+++ b/tests/unit/message_reader_test.cpp
@@ -69,3 +69,15 @@
                               "HTTP/1.1 200 OK\r\nX-A: HTTP/1.1 "})
         CHECK_TEXT(is_whole_answer(start + rest), start);
 }
+
+TEST(message_reader, trailers_are_not_taken_for_headers_of_the_next_message)
+{
+    message_recorder recorder;
+    http1::message_reader reader(http1::message_kind::requests, max_head_bytes, recorder);
+    CHECK(reader.read("POST / HTTP/1.1\r\nHost: first\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "0\r\nX-A: 1\r\nX-Sum: 2\r\n\r\n"
+                      "GET / HTTP/1.1\r\nHost: second\r\n\r\n"));
+    LONGS_EQUAL(2, recorder.heads.size());
+    LONGS_EQUAL(1, recorder.heads.back().headers.size());
+    STRCMP_EQUAL("second", std::string(recorder.heads.back().headers.find("host")).c_str());
+}
