http1: interim answers, 204 and 304 end with their heads

A caller waited until its deadline (504) when its upstream answered 304 and stated the length that a body would have, as 304 may: the parser waited for that body. Behind an interim answer (1xx) with a length, the final answer was read as the interim one's body and lost. Both now end with their heads, whatever length or coding they state.

Red before: TEST(kept_connection, answer_without_a_body_ends_with_its_head_whatever_length_it_states) CHECK(result.end == http1::call_end::complete) failed Green after, with the other 46 tests of http1 (trial build of these alone).

--- a/libraries/http1/message_reader.cpp
+++ b/libraries/http1/message_reader.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::uint64_t no_content_length = std::numeric_limits<std::uint64_t>::max();
+constexpr unsigned first_final_status = 200;
+constexpr unsigned status_no_content = 204;
+constexpr unsigned status_not_modified = 304;
 /// Return values of http_parser callbacks: continue, or (on_headers_complete) expect no body.
 constexpr int continue_parsing = 0;
 constexpr int continue_without_body = 1;
@@ -147,6 +150,15 @@
                        [](http_header const& each) { return contains_status_line(each.value); });
 }
 
+bool message_reader::status_allows_no_body() const
+{
+    if (kind_ == message_kind::requests)
+        return false;
+    bool const is_interim = parser_.status_code < first_final_status;
+    return is_interim || parser_.status_code == status_no_content ||
+           parser_.status_code == status_not_modified;
+}
+
 int message_reader::complete_head()
 {
     store_header();
@@ -163,7 +175,7 @@
         head_.content_length = parser_.content_length;
     head_.keep_alive = http_should_keep_alive(&parser_) != 0;
     listener_.on_head(std::move(head_));
-    return expects_no_body_ ? continue_without_body : continue_parsing;
+    return expects_no_body_ || status_allows_no_body() ? continue_without_body : continue_parsing;
 }
 
 bool message_reader::read(std::string_view bytes)
--- a/libraries/http1/message_reader.hpp
+++ b/libraries/http1/message_reader.hpp
@@ -80,6 +80,8 @@
     int count_head_bytes(std::size_t size);
     int complete_head();
     bool has_status_line_inside_head() const;
+    /// True for answers that end with their head, whatever length it states.
+    bool status_allows_no_body() const;
 
     message_listener& listener_;
     http_parser parser_{};
--- a/tests/unit/kept_connection_test.cpp
+++ b/tests/unit/kept_connection_test.cpp
@@ -215,3 +215,19 @@
         "HTTP/1.1 200 Status\r\nX-Id: second\r\nContent-Length: 6\r\n\r\nsecond";
     check_is_answer_to_the_second_call(call_twice("second", {with_trailers}, {own}));
 }
+
+TEST(kept_connection, answer_without_a_body_ends_with_its_head_whatever_length_it_states)
+{
+    std::string const refusal = answer_text(status_unavailable, "first", "busy");
+    std::string const own = answer_text(status_ok, "second", "second");
+    for (char const* length : {"Content-Length: 9", "Transfer-Encoding: chunked"}) {
+        check_is_answer_to_the_second_call(call_twice(
+            "second", {refusal}, {fmt::format("HTTP/1.1 103 Hints\r\n{}\r\n\r\n", length) + own}));
+        auto const unchanged = call_twice(
+            "second", {refusal},
+            {fmt::format("HTTP/1.1 304 Not Modified\r\nX-Id: second\r\n{}\r\n\r\n", length)});
+        CHECK_TEXT(unchanged.end == http1::call_end::complete, length);
+        LONGS_EQUAL(304, unchanged.head.status);
+        STRCMP_EQUAL("", unchanged.body.c_str());
+    }
+}
