http1: answers in an unknown transfer coding are malformed

A caller could get a body that wasn't the upstream's, framed as whole: an answer with "Transfer-Encoding: chun" (or gzip) was read to the end of its connection and passed on without the header; of "gzip, chunked" the gzip bytes. The reader's description called this malformed, but the parser rejects it in requests only. Now an answer's Transfer-Encoding is "chunked" or malformed.

--- a/libraries/http1/message_reader.cpp
+++ b/libraries/http1/message_reader.cpp
@@ -31,6 +31,13 @@
     return text;
 }
 
+bool is_chunked_encoding(std::string_view encoding)
+{
+    std::string_view const without_trailing_space =
+        encoding.substr(0, encoding.find_last_not_of(" \t") + 1);
+    return lower_case(std::string(without_trailing_space)) == "chunked";
+}
+
 bool is_digit(char c)
 {
     return c >= '0' && c <= '9';
@@ -150,6 +157,13 @@
                        [](http_header const& each) { return contains_status_line(each.value); });
 }
 
+bool message_reader::has_unknown_transfer_encoding() const
+{
+    return std::any_of(head_.headers.begin(), head_.headers.end(), [](http_header const& each) {
+        return each.name == "transfer-encoding" && !is_chunked_encoding(each.value);
+    });
+}
+
 bool message_reader::status_allows_no_body() const
 {
     if (kind_ == message_kind::requests)
@@ -163,7 +177,9 @@
 {
     store_header();
     head_bytes_ = 0;
-    if (kind_ == message_kind::answers && has_status_line_inside_head())
+    // The parser rejects such an encoding in requests.
+    if (kind_ == message_kind::answers &&
+        (has_status_line_inside_head() || has_unknown_transfer_encoding()))
         return abort_parsing;
     // Protocol upgrades aren't supported: the rest is parsed as an ordinary message.
     parser_.upgrade = 0;
--- a/libraries/http1/message_reader.hpp
+++ b/libraries/http1/message_reader.hpp
@@ -80,6 +80,7 @@
     int count_head_bytes(std::size_t size);
     int complete_head();
     bool has_status_line_inside_head() const;
+    bool has_unknown_transfer_encoding() const;
     /// True for answers that end with their head, whatever length it states.
     bool status_allows_no_body() const;
 
--- a/tests/unit/message_reader_test.cpp
+++ b/tests/unit/message_reader_test.cpp
@@ -2,6 +2,8 @@
 
 #include "tests/fakes/harness.hpp"
 
+#include <fmt/format.h>
+
 #include <vector>
 
 using namespace burdockstep;
@@ -81,3 +83,14 @@
     LONGS_EQUAL(1, recorder.heads.back().headers.size());
     STRCMP_EQUAL("second", std::string(recorder.heads.back().headers.find("host")).c_str());
 }
+
+TEST(message_reader, answer_with_an_unknown_transfer_encoding_is_malformed)
+{
+    for (char const* encoding : {"chun", "gzip", "chunked, gzip", "identity", "gzip, chunked",
+                                 "gzip\r\nTransfer-Encoding: chunked"})
+        CHECK_TEXT(!is_whole_answer(fmt::format(
+                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: {}\r\n\r\n0\r\n\r\n", encoding)),
+                   encoding);
+    CHECK(is_whole_answer(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked \r\n\r\n1\r\na\r\n0\r\n\r\n"));
+}
