http1: a seeded test of an upstream that copies and cuts answers

Random sequences on kept connections: runs and refusals, copies of earlier answers in front of and behind the present one, whole or cut, with and without an id, in one segment or apart, answers cut by a close, and calls that carry the id of the one before. No call may get another one's answer, and a call is reported as refused if and only if the upstream refused it.

--- a/tests/unit/kept_connection_test.cpp
+++ b/tests/unit/kept_connection_test.cpp
@@ -5,8 +5,11 @@
 
 #include <fmt/format.h>
 
+#include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
+#include <random>
 
 using namespace burdockstep;
 using namespace burdockstep::testing;
@@ -231,3 +234,114 @@
         STRCMP_EQUAL("", unchanged.body.c_str());
     }
 }
+
+namespace {
+
+/// An upstream that sends copies of earlier answers, whole or cut, at random moments, and that
+/// remembers which calls it ran.
+class copying_upstream
+{
+public:
+    explicit copying_upstream(std::uint64_t seed) : random_(seed) {}
+
+    upstream_reaction react(std::string const& request, int connection)
+    {
+        std::string const id = header(request, "x-id: ");
+        std::string const call = header(request, "x-call: ");
+        bool const runs = chance(50);
+        {
+            std::lock_guard const lock(mutex_);
+            was_run_[call] = runs;
+        }
+        std::string const own = answer_text(runs ? status_ok : status_unavailable, id, call);
+        auto& earlier = earlier_answers_[connection];
+        upstream_reaction reaction;
+        if (!earlier.empty() && chance(15))
+            add(reaction, copy_of(earlier));
+        if (chance(5)) {
+            add(reaction, own.substr(0, random_() % own.size()));
+            reaction.closes = true;
+            return reaction;
+        }
+        add(reaction, own);
+        earlier.push_back(own);
+        if (chance(20))
+            add(reaction, copy_of(earlier));
+        reaction.closes = chance(5);
+        return reaction;
+    }
+
+    bool was_run(std::string const& call)
+    {
+        std::lock_guard const lock(mutex_);
+        return was_run_[call];
+    }
+
+private:
+    static std::string header(std::string const& request, std::string_view name)
+    {
+        std::size_t const start = request.find(name) + name.size();
+        return request.substr(start, request.find("\r\n", start) - start);
+    }
+
+    bool chance(unsigned percent) { return random_() % 100 < percent; }
+
+    std::string copy_of(std::vector<std::string> const& earlier)
+    {
+        std::string copy = earlier[random_() % earlier.size()];
+        if (chance(30)) {
+            std::size_t const id_start = copy.find("X-Id: ");
+            copy.erase(id_start, copy.find("\r\n", id_start) + 2 - id_start);
+        }
+        if (chance(40))
+            copy.resize(1 + random_() % copy.size());
+        return copy;
+    }
+
+    /// Adds bytes to the last segment or behind it.
+    void add(upstream_reaction& reaction, std::string const& bytes)
+    {
+        if (reaction.segments.empty() || chance(50))
+            reaction.segments.push_back(bytes);
+        else
+            reaction.segments.back() += bytes;
+    }
+
+    std::minstd_rand random_;
+    std::map<int, std::vector<std::string>> earlier_answers_; ///< By connection.
+    std::mutex mutex_;
+    std::map<std::string, bool> was_run_; ///< By call.
+};
+
+} // namespace
+
+TEST(kept_connection, no_call_gets_another_ones_answer_from_an_upstream_that_copies_answers)
+{
+    constexpr int calls_per_seed = 60;
+    int complete_calls = 0;
+    for (unsigned const seed : {1U, 2U, 3U, 4U, 5U}) {
+        copying_upstream faulty(seed);
+        scripted_upstream const upstream([&](std::string const& request, int connection) {
+            return faulty.react(request, connection);
+        });
+        client = std::make_unique<http1::client>(loop, clock, http1::client_limits{});
+        std::minstd_rand random(seed);
+        int id = 0;
+        for (int call = 0; call < calls_per_seed; ++call) {
+            id += random() % 4 == 0 ? 0 : 1; // Some calls carry the id of the call before.
+            std::string const call_text = fmt::format("{}", call);
+            auto options = call_with_id(upstream.at(), fmt::format("id{}", id));
+            options.headers.add("x-call", call_text);
+            options.answer_timeout = ms(20);
+            auto const result = call_and_wait(std::move(options));
+            if (result.end != http1::call_end::complete)
+                continue;
+            ++complete_calls;
+            std::string const where = fmt::format("seed {}, call {}", seed, call);
+            STRCMP_EQUAL_TEXT(call_text.c_str(), result.body.c_str(), where.c_str());
+            CHECK_TEXT(faulty.was_run(call_text) == (result.head.status == status_ok),
+                       where.c_str());
+        }
+    }
+    CHECK(complete_calls > calls_per_seed);
+}
