--- a/meta/prove_red.sh
+++ b/meta/prove_red.sh
@@ -126,6 +126,18 @@
     "if (options_->call_timeout > duration::zero())" "if (false)"
 break_one "gateway: the memory of all answers isn't limited" libraries/http1/client.cpp \
     "if (buffered_bytes_ <= limits_.max_buffered_bytes)" "if (true)"
+break_one "gateway: a connection carries the same id twice" libraries/http1/client.cpp \
+    "most_recently_used.has_carried(options.answer_id)" \
+    "(most_recently_used.has_carried(options.answer_id) && false)"
+break_one "gateway: the beginning of a copy behind an answer is overlooked" \
+    libraries/http1/client_connection.cpp "|| reader_.is_inside_message()" ""
+break_one "gateway: an answer without an id is believed" libraries/http1/client_connection.cpp \
+    "return head.headers.find(options_->answer_id.name)" \
+    "return !head.headers.contains(options_->answer_id.name) ||
+           head.headers.find(options_->answer_id.name)"
+break_one "gateway: a cut head and the answer behind it are one" \
+    libraries/http1/message_reader.cpp "(has_status_line_inside_head() ||" \
+    "((has_status_line_inside_head() && false) ||"
 break_one "a drained region runs requests again when the others have no room" \
     libraries/entry/entry_routing.cpp "outward.note_refused();" ""
 exit "$unnoticed"
