http1: a test of answers that come before all of the request was sent

The rest of a long body must not be due on a connection that carries another request. It can't happen: a connection with unsent bytes isn't used again.

--- a/tests/unit/http1_client_test.cpp
+++ b/tests/unit/http1_client_test.cpp
@@ -207,3 +207,15 @@
         }
     }
 }
+
+TEST(http1_client, connection_is_not_reused_when_the_answer_came_before_all_of_the_request_was_sent)
+{
+    constexpr std::size_t more_bytes_than_buffers_hold = std::size_t{64} * 1'024 * 1'024;
+    raw_server const server({{answer_with_own_id}, {answer_with_second_id}},
+                            raw_server_end::stay_open);
+    auto options = call_to(server.at());
+    options.method = "POST";
+    options.body = std::string(more_bytes_than_buffers_hold, 'b');
+    CHECK(call_and_wait(std::move(options)).end == http1::call_end::complete);
+    CHECK(!call_and_wait(call_to(server.at(), "second")).on_reused_connection);
+}
