--- a/libraries/http1/client.hpp
+++ b/libraries/http1/client.hpp
@@ -45,10 +45,13 @@
     std::string target = "/";
     http_headers headers; ///< Without content-length and transfer-encoding.
     std::string body;
-    /// Header field that the answer must carry to match this request. An answer with another value
-    /// belongs to another request and is skipped. An answer without the field is accepted only on
-    /// a new connection. An empty name accepts any answer.
+    /// Header field that the answer must carry to match this request. An answer without it or with
+    /// another value belongs to no request or to another one, and is skipped. An empty name accepts
+    /// any answer; with a name, the value must not be empty.
     http_header answer_id;
+    /// Never reuses a connection, on which a late answer to an earlier call might arrive. For calls
+    /// whose answers carry no id.
+    bool on_new_connection = false;
     /// Idle connections that were unused for longer than this are not reused for the call.
     duration max_idle_time = std::chrono::hours(1);
     duration connect_timeout = std::chrono::milliseconds(500);
@@ -72,6 +75,9 @@
     /// Maximum size of the incomplete bodies of all calls together. Beyond it, the call with the
     /// largest one is broken.
     std::size_t max_buffered_bytes = std::size_t{64} * 1024 * 1024;
+    /// A connection that has carried this many calls with an answer id is not reused. It keeps
+    /// their ids, so that it never carries two calls with the same one.
+    std::size_t max_ids_per_connection = 1'000;
     /// Maximum number of idle connections per address.
     std::size_t max_idle_connections = 32;
     /// An idle connection is closed this long before the server's announced keep-alive timeout.
@@ -86,15 +92,16 @@
 struct client_counters
 {
     std::uint64_t connections_opened = 0;
-    /// Answers skipped as belonging to other requests: their `answer_id` header field doesn't match
-    /// the call or, on a reused connection, is missing. Interim answers (status 1xx) don't count.
+    /// Answers skipped as belonging to other requests: their `answer_id` header field is missing or
+    /// doesn't match the call. Interim answers (status 1xx) don't count.
     std::uint64_t answers_skipped = 0;
     /// Calls that were broken because their bodies together passed `max_buffered_bytes`.
     std::uint64_t answers_dropped_for_memory = 0;
     std::uint64_t connections_reused = 0;
     /// New connections because none to the address was idle.
     std::uint64_t opened_none_idle = 0;
-    /// New connections because the idle ones had expired or were idle for too long for the call.
+    /// New connections because the idle ones had expired, were idle for too long for the call, or
+    /// might get a late answer that can't be told from the call's.
     std::uint64_t opened_idle_too_long = 0;
 };
 
--- a/libraries/http1/message_reader.cpp
+++ b/libraries/http1/message_reader.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::uint64_t no_content_length = std::numeric_limits<std::uint64_t>::max();
+constexpr unsigned first_final_status = 200;
+constexpr unsigned status_no_content = 204;
+constexpr unsigned status_not_modified = 304;
 /// Return values of http_parser callbacks: continue, or (on_headers_complete) expect no body.
 constexpr int continue_parsing = 0;
 constexpr int continue_without_body = 1;
@@ -28,6 +31,33 @@
     return text;
 }
 
+bool is_chunked_encoding(std::string_view encoding)
+{
+    std::string_view const without_trailing_space =
+        encoding.substr(0, encoding.find_last_not_of(" \t") + 1);
+    return lower_case(std::string(without_trailing_space)) == "chunked";
+}
+
+bool is_digit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+/// True if the text contains a version and the first digit of a status, as in "HTTP/1.1 2".
+bool contains_status_line(std::string_view text)
+{
+    constexpr std::string_view protocol = "HTTP/";
+    constexpr std::size_t rest_size = std::string_view("1.1 2").size();
+    for (auto at = text.find(protocol); at != std::string_view::npos;
+         at = text.find(protocol, at + 1)) {
+        std::string_view const rest = text.substr(at + protocol.size(), rest_size);
+        if (rest.size() == rest_size && is_digit(rest[0]) && rest[1] == '.' && is_digit(rest[2]) &&
+            rest[3] == ' ' && is_digit(rest[4]))
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 message_reader::message_reader(message_kind kind, std::size_t max_head_bytes,
@@ -46,6 +76,11 @@
         new_settings.on_message_begin = [](http_parser* parser) {
             message_reader& reader = reader_of(parser);
             reader.head_ = {};
+            reader.head_bytes_ = 0;
+            reader.reason_phrase_.clear();
+            // The last trailer of the message before.
+            reader.header_name_.clear();
+            reader.header_value_.clear();
             reader.inside_message_ = true;
             reader.reading_value_ = false;
             return continue_parsing;
@@ -54,6 +89,10 @@
             reader_of(parser).head_.target.append(chunk, size);
             return reader_of(parser).count_head_bytes(size);
         };
+        new_settings.on_status = [](http_parser* parser, char const* chunk, std::size_t size) {
+            reader_of(parser).reason_phrase_.append(chunk, size);
+            return reader_of(parser).count_head_bytes(size);
+        };
         new_settings.on_header_field = [](http_parser* parser, char const* chunk,
                                           std::size_t size) {
             message_reader& reader = reader_of(parser);
@@ -111,10 +150,37 @@
     return abort_parsing;
 }
 
+bool message_reader::has_status_line_inside_head() const
+{
+    return contains_status_line(reason_phrase_) ||
+           std::any_of(head_.headers.begin(), head_.headers.end(),
+                       [](http_header const& each) { return contains_status_line(each.value); });
+}
+
+bool message_reader::has_unknown_transfer_encoding() const
+{
+    return std::any_of(head_.headers.begin(), head_.headers.end(), [](http_header const& each) {
+        return each.name == "transfer-encoding" && !is_chunked_encoding(each.value);
+    });
+}
+
+bool message_reader::status_allows_no_body() const
+{
+    if (kind_ == message_kind::requests)
+        return false;
+    bool const is_interim = parser_.status_code < first_final_status;
+    return is_interim || parser_.status_code == status_no_content ||
+           parser_.status_code == status_not_modified;
+}
+
 int message_reader::complete_head()
 {
     store_header();
     head_bytes_ = 0;
+    // The parser rejects such an encoding in requests.
+    if (kind_ == message_kind::answers &&
+        (has_status_line_inside_head() || has_unknown_transfer_encoding()))
+        return abort_parsing;
     // Protocol upgrades aren't supported: the rest is parsed as an ordinary message.
     parser_.upgrade = 0;
     if (kind_ == message_kind::requests)
@@ -125,7 +191,7 @@
         head_.content_length = parser_.content_length;
     head_.keep_alive = http_should_keep_alive(&parser_) != 0;
     listener_.on_head(std::move(head_));
-    return expects_no_body_ ? continue_without_body : continue_parsing;
+    return expects_no_body_ || status_allows_no_body() ? continue_without_body : continue_parsing;
 }
 
 bool message_reader::read(std::string_view bytes)
--- a/tests/unit/http1_client_test.cpp
+++ b/tests/unit/http1_client_test.cpp
@@ -11,16 +11,20 @@
 
 namespace {
 
-http1::call_options call_to(address const& at)
+http1::call_options call_to(address const& at, std::string const& id = "mine")
 {
     return {.to = at,
-            .headers = {{.name = "x-id", .value = "mine"}},
+            .headers = {{.name = "x-id", .value = id}},
             .body = {},
-            .answer_id = {.name = "x-id", .value = "mine"}};
+            .answer_id = {.name = "x-id", .value = id}};
 }
 
 constexpr char const* answer_with_own_id =
     "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 3\r\n\r\nabc";
+constexpr char const* answer_with_second_id =
+    "HTTP/1.1 200 OK\r\nX-Id: second\r\nContent-Length: 3\r\n\r\nabc";
+constexpr char const* answer_with_third_id =
+    "HTTP/1.1 200 OK\r\nX-Id: third\r\nContent-Length: 3\r\n\r\nabc";
 constexpr char const* answer_with_length_and_chunks =
     "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
     "0\r\n\r\n";
@@ -111,24 +115,24 @@
 TEST(http1_client, answer_to_another_request_is_skipped_and_its_connection_not_reused)
 {
     raw_server const server(
-        {{answer_with_own_id, std::string(answer_with_another_id) + answer_with_own_id},
-         {answer_with_own_id}},
+        {{answer_with_own_id, std::string(answer_with_another_id) + answer_with_second_id},
+         {answer_with_third_id}},
         raw_server_end::stay_open);
     CHECK(call_and_wait(call_to(server.at())).end == http1::call_end::complete);
-    auto const second = call_and_wait(call_to(server.at()));
+    auto const second = call_and_wait(call_to(server.at(), "second"));
     CHECK(second.on_reused_connection);
     STRCMP_EQUAL("abc", second.body.c_str());
     LONGS_EQUAL(1, client->counters().answers_skipped);
-    CHECK(!call_and_wait(call_to(server.at())).on_reused_connection);
+    CHECK(!call_and_wait(call_to(server.at(), "third")).on_reused_connection);
 }
 
 TEST(http1_client, connection_is_closed_when_bytes_follow_an_answer)
 {
     raw_server const server(
-        {{std::string(answer_with_own_id) + answer_with_another_id}, {answer_with_own_id}},
+        {{std::string(answer_with_own_id) + answer_with_another_id}, {answer_with_second_id}},
         raw_server_end::stay_open);
     CHECK(call_and_wait(call_to(server.at())).end == http1::call_end::complete);
-    auto const second = call_and_wait(call_to(server.at()));
+    auto const second = call_and_wait(call_to(server.at(), "second"));
     CHECK(!second.on_reused_connection);
     STRCMP_EQUAL("abc", second.body.c_str());
 }
@@ -138,17 +142,17 @@
     for (char const* header : {"Connection: close", "Keep-Alive: timeout=0"}) {
         std::string const answer = std::string("HTTP/1.1 200 OK\r\nX-Id: mine\r\n") + header +
                                    "\r\nContent-Length: 3\r\n\r\nabc";
-        raw_server const server({{answer}, {answer_with_own_id}}, raw_server_end::close);
+        raw_server const server({{answer}, {answer_with_second_id}}, raw_server_end::close);
         CHECK(call_and_wait(call_to(server.at())).end == http1::call_end::complete);
-        CHECK_TEXT(!call_and_wait(call_to(server.at())).on_reused_connection, header);
+        CHECK_TEXT(!call_and_wait(call_to(server.at(), "second")).on_reused_connection, header);
     }
 }
 
 TEST(http1_client, connection_idle_beyond_the_limit_of_a_call_is_not_reused)
 {
-    raw_server const server({{answer_with_own_id}, {answer_with_own_id}}, raw_server_end::close);
+    raw_server const server({{answer_with_own_id}, {answer_with_second_id}}, raw_server_end::close);
     CHECK(call_and_wait(call_to(server.at())).end == http1::call_end::complete);
-    auto options = call_to(server.at());
+    auto options = call_to(server.at(), "second");
     options.max_idle_time = duration::zero() - std::chrono::microseconds(1);
     CHECK(!call_and_wait(std::move(options)).on_reused_connection);
 }
@@ -176,3 +180,42 @@
     LONGS_EQUAL(200, statuses.front());
     LONGS_EQUAL(500, statuses.back());
 }
+
+TEST(http1_client, answer_that_is_cut_and_closed_is_complete_only_if_nothing_is_missing)
+{
+    struct answer
+    {
+        std::string text;
+        std::size_t complete_from; ///< Number of bytes from which a close completes the answer.
+    };
+    std::string const interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+    std::string const chunked = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: "
+                                "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    std::string const lengthless_head = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nX-Last: a\r\n\r\n";
+    std::string const with_length = answer_with_own_id;
+    for (answer const& each :
+         {answer{.text = with_length, .complete_from = with_length.size()},
+          answer{.text = chunked, .complete_from = chunked.size()},
+          answer{.text = lengthless_head + "abc", .complete_from = lengthless_head.size()},
+          answer{.text = interim + with_length,
+          .complete_from = interim.size() + with_length.size()}}) {
+        for (std::size_t size = 0; size <= each.text.size(); ++size) {
+            std::string const sent = each.text.substr(0, size);
+            bool const is_complete =
+                call_raw_server(sent, raw_server_end::close).end == http1::call_end::complete;
+            CHECK_TEXT(is_complete == (size >= each.complete_from), sent.c_str());
+        }
+    }
+}
+
+TEST(http1_client, connection_is_not_reused_when_the_answer_came_before_all_of_the_request_was_sent)
+{
+    constexpr std::size_t more_bytes_than_buffers_hold = std::size_t{64} * 1'024 * 1'024;
+    raw_server const server({{answer_with_own_id}, {answer_with_second_id}},
+                            raw_server_end::stay_open);
+    auto options = call_to(server.at());
+    options.method = "POST";
+    options.body = std::string(more_bytes_than_buffers_hold, 'b');
+    CHECK(call_and_wait(std::move(options)).end == http1::call_end::complete);
+    CHECK(!call_and_wait(call_to(server.at(), "second")).on_reused_connection);
+}
