--- a/tests/unit/http1_server_test.cpp
+++ b/tests/unit/http1_server_test.cpp
@@ -294,6 +294,31 @@
     CHECK(second_answered);
 }
 
+TEST(http1_server, request_whose_rest_has_arrived_when_the_stall_timeout_expires_is_answered)
+{
+    server->set_limits({.request_stall_timeout = ms(100)});
+    std::atomic<bool> loop_is_late = false;
+    listen([&](http1::exchange& each) {
+        if (each.request().head.target == "/slow") {
+            loop_is_late = true;
+            std::this_thread::sleep_for(ms(700));
+        }
+        answer_ran(each);
+    });
+    bool answered = false;
+    run_loop_while([&] {
+        int const connection = connect_and_send(at, "GET / HTTP/1.1\r\n");
+        int const other = connect_and_send(at, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n");
+        while (!loop_is_late)
+            std::this_thread::yield();
+        send_all(connection, "Host: a\r\n\r\n");
+        answered = receive_answer(connection);
+        close(connection);
+        close(other);
+    });
+    CHECK(answered);
+}
+
 TEST(http1_server, request_that_crosses_the_close_of_an_idle_connection_is_not_read)
 {
     set_idle_timeout(ms(100));
