gateway: a process that ends after a failed task answers what is under way, once

Cause: only the planned stop told its tasks that the process ends. After a failed task, requests under way ended without an answer and new ones were still sent to upstreams for 50 ms; each further failure and a SIGTERM restarted the exit timer, and a stop that began then replaced the exit code.

Change: end_process tells the tasks itself, and only its first call counts. From then on nothing new is taken. The last answers are given 350 ms instead of 250 ms before the stop limit, as the exit, checked every 50 ms, could fall into the limit.

--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -132,7 +132,7 @@
 /// A planned stop has begun: look-ups must no longer return this entry.
 struct stop_begun
 {
-    time_point process_end; ///< When the process ends, even with requests under way.
+    time_point process_end; ///< When requests that are still under way are ended.
 };
 
 /// Callers have had time to repeat their look-up during a planned stop: new requests are refused
@@ -140,7 +140,8 @@
 struct caller_grace_period_ended
 {};
 
-/// A planned stop is complete or has reached its limit: the process exits within milliseconds.
+/// The process exits within milliseconds: a planned stop is complete or has reached its limit, or a
+/// task has failed.
 struct process_ending
 {};
 
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -236,7 +236,7 @@
     auto const requests =
         engine_.oldest_requests_under_way(max_logged_cut_requests, context_.clock.now());
     for (request_under_way const& each : requests) {
-        log_.warning("request is cut by the end of the process",
+        log_.warning("request is ended by the end of the process",
                      {field("request", each.caller_id), field("number", each.id.get()),
                       field("stage", each.at_upstream ? "at-upstream" : "waiting"),
                       field("route", each.route), field("upstream", each.upstream.get()),
@@ -244,7 +244,7 @@
                       field("time_left_us", each.time_left.count())});
     }
     if (std::size_t const unsent_bytes = caller_server_.unsent_bytes(); unsent_bytes > 0)
-        log_.warning("answers are cut by the end of the process", {field("bytes", unsent_bytes)});
+        log_.warning("answers are not sent yet at the end of the process", {field("bytes", unsent_bytes)});
 }
 
 void requests_task::execute(probe_upstream const& command)
@@ -423,6 +423,8 @@
     }
     else if (std::holds_alternative<process_ending>(new_event)) {
         caller_server_.stop_accepting();
+        caller_server_.close_after_answers();
+        engine_.refuse_new_requests();
         log_cut_requests();
         execute(engine_.end_all_requests(now));
     }
--- a/services/burdockstep_gateway/supervisor.cpp
+++ b/services/burdockstep_gateway/supervisor.cpp
@@ -15,6 +15,7 @@
 #include <exception>
 #include <iterator>
 #include <sstream>
+#include <utility>
 
 namespace burdockstep::gateway {
 
@@ -34,7 +35,7 @@
 /// Longest time in which the last answers are sent before the process exits.
 constexpr duration answer_sending_time = std::chrono::milliseconds(150);
 /// The last answers are given this long before the stop limit.
-constexpr duration stop_limit_margin = std::chrono::milliseconds(250);
+constexpr duration stop_limit_margin = std::chrono::milliseconds(350);
 
 duration time_since_boot()
 {
@@ -196,7 +197,7 @@
 
 void supervisor::begin_stop()
 {
-    if (stopping_)
+    if (stopping_ || ending_)
         return;
     stopping_ = true;
     time_point const now = context_.clock.now();
@@ -205,6 +206,8 @@
     log_.info("stop begun; look-ups no longer return this entry",
               {field("instance", settings_.instance.get())});
     deliver(stop_begun{.process_end = stop_ends_at_});
+    if (ending_)
+        return;
     stop_timer_.start_periodic(stop_check_interval, [this] { check_stop_progress(); });
 }
 
@@ -214,6 +217,8 @@
     if (!caller_grace_period_ended_ && now >= caller_grace_period_ends_at_) {
         caller_grace_period_ended_ = true;
         deliver(caller_grace_period_ended{});
+        if (ending_)
+            return;
     }
     bool const idle = tasks_.is_idle();
     bool const limit_reached = now >= stop_ends_at_;
@@ -223,15 +228,17 @@
         log_.info("stopped; no requests under way");
     else
         log_.warning("stop limit reached with requests under way");
-    deliver(process_ending{});
     log_metrics();
     end_process(idle ? service_exit_code::stopped : service_exit_code::stop_timed_out);
 }
 
 void supervisor::end_process(service_exit_code reason)
 {
+    if (std::exchange(ending_, true))
+        return;
     exit_reason_ = reason;
     stop_timer_.stop();
+    tasks_.deliver(process_ending{}, log_);
     // Leaves the event loop time to send the answers that were just written, and to refuse requests
     // that arrive now.
     time_point const latest_end = context_.clock.now() + answer_sending_time;
--- a/services/burdockstep_gateway/supervisor.hpp
+++ b/services/burdockstep_gateway/supervisor.hpp
@@ -55,6 +55,7 @@
     time_point stop_ends_at_;
     time_point caller_grace_period_ends_at_;
     bool stopping_ = false;
+    bool ending_ = false; ///< The process exits within milliseconds.
     bool caller_grace_period_ended_ = false;
     service_exit_code exit_reason_ = service_exit_code::stopped;
 };
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -534,7 +534,7 @@
     begin_stop(gateway)
     assert gateway["process"].wait() == 3
     lines = [each for each in gateway["process"].log.read_text(errors="replace").splitlines()
-             if "request is cut by the end of the process" in each]
+             if "request is ended by the end of the process" in each]
     assert len(lines) == 1 and "request=cut-1 " in lines[0] and "stage=at-upstream" in lines[0], \
         f"the log names the cut request: {lines}"
     set_writes(deployment, "heal")
