net: an answer that is given up before its head doesn't end the process

Cause: the server notices a caller that left while h2o's request still lives; the entry cancels the send and aborts the exchange. An abort before `start` handed h2o the end of an answer that had never begun, which it asserts (also in release, as the library does).

Change: such an answer begins as a 502 first, and the connection is ended.

Test, red before: http, answer_that_is_aborted_before_its_head_ends_the_connection_ without_a_success: the test program ends with the same assertion.

--- a/libraries/net/http_server.cpp
+++ b/libraries/net/http_server.cpp
@@ -19,6 +19,8 @@
 
 namespace {
 
+/// Status of an answer that is given up before anything else has been said.
+constexpr int status_bad_gateway = 502;
 constexpr std::size_t write_high_water_bytes = std::size_t{64} * 1024;
 constexpr duration disconnect_check_interval = std::chrono::milliseconds(50);
 constexpr int listen_backlog = 1024;
@@ -215,6 +217,12 @@
     {
         if (h2o_request_ == nullptr || end_requested_)
             return;
+        // h2o ends only answers that have begun.
+        if (!answer_started_)
+            start({.status = status_bad_gateway,
+                   .headers = {},
+                   .content_length = 0,
+                   .delimited = true});
         end_requested_ = true;
         final_state_ = state;
         flush();
--- a/libraries/net/http_server.hpp
+++ b/libraries/net/http_server.hpp
@@ -39,7 +39,8 @@
     virtual bool write(std::string_view bytes) = 0;
     /// Completes the answer.
     virtual void finish() = 0;
-    /// Ends the answer so that the caller can tell it is truncated.
+    /// Ends the answer so that the caller can tell it is truncated; one that has not begun becomes
+    /// a 502.
     virtual void abort() = 0;
     /// Sends a complete answer.
     virtual void reply(int status, http_headers const& headers, std::string_view body) = 0;
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -7,6 +7,8 @@
 
 #include <sys/socket.h>
 
+#include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -177,6 +179,23 @@
     run_until([&] { return disconnected; });
 }
 
+TEST(http, answer_that_is_aborted_before_its_head_ends_the_connection_without_a_success)
+{
+    http_server server(shared_loop(), {});
+    address const at = listening_address(server.try_listen(
+        loopback_any_port(), [](std::shared_ptr<http_exchange> const& each) { each->abort(); }));
+    std::string answer;
+    std::atomic<bool> done = false;
+    std::thread caller([&] {
+        answer = send_and_read_until_close(at, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        done = true;
+    });
+    run_until([&] { return done.load(); });
+    caller.join();
+    CHECK_TEXT(answer.find(" 200 ") == std::string::npos, answer.c_str());
+    CHECK_TEXT(answer.find("still open") == std::string::npos, answer.c_str());
+}
+
 TEST(http, requests_with_ambiguous_framing_get_400_or_a_close)
 {
     http_server server(shared_loop(), {});
