--- a/libraries/http1/server_connection.cpp
+++ b/libraries/http1/server_connection.cpp
@@ -174,8 +174,8 @@
     if (connection_ended_)
         return;
     if (reader_.is_inside_message()) {
-        bool const is_stalled = now - last_activity_at_ > limits_.request_stall_timeout &&
-                                !socket_.has_unread_input();
+        bool const is_stalled =
+            now - last_activity_at_ > limits_.request_stall_timeout && !socket_.has_unread_input();
         bool const exceeds_read_time = now - message_started_at_ > max_request_read_time;
         if ((is_stalled || exceeds_read_time) && error_status_ == 0) {
             stop_reading_with_error(408);
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -244,7 +244,8 @@
                       field("time_left_us", each.time_left.count())});
     }
     if (std::size_t const unsent_bytes = caller_server_.unsent_bytes(); unsent_bytes > 0)
-        log_.warning("answers are not sent yet at the end of the process", {field("bytes", unsent_bytes)});
+        log_.warning("answers are not sent yet at the end of the process",
+                     {field("bytes", unsent_bytes)});
 }
 
 void requests_task::execute(probe_upstream const& command)
