discovery: an evacuation outlives a second restore and an outage behind the first

Requests would have gone to an evacuated place.

Change: each return gives the whole grace again, and it counts only while the store answers this entry. Next to it, the last retries without a pause that the restored store had shown: a whole read decides the position from which changes are followed (as for registrations), and a list of entries that is older than a peer's news is asked for again after a growing pause.

Changed check: evacuation_that_is_not_written_again_ends said that a second restoration doesn't prolong the grace, which was the fault. It now checks that a further read in the same era doesn't, and both sides of the bound; the second restoration has a test of its own with both sides too.

--- a/libraries/discovery/evacuations.cpp
+++ b/libraries/discovery/evacuations.cpp
@@ -10,7 +10,8 @@
         std::exchange(confirmed_, std::set<place_name>(evacuated.begin(), evacuated.end()));
     if (era > era_) {
         for (place_name const& each : previous)
-            unconfirmed_.try_emplace(each, now + rewrite_grace);
+            unconfirmed_.try_emplace(each);
+        restart_grace(now);
     }
     era_ = era;
     for (place_name const& each : confirmed_)
@@ -18,6 +19,12 @@
     expire(now);
 }
 
+void evacuations::restart_grace(time_point now)
+{
+    for (auto& [place, lifted_at] : unconfirmed_)
+        lifted_at = now + rewrite_grace;
+}
+
 void evacuations::apply_changes(std::vector<place_name> const& evacuated,
                                 std::vector<place_name> const& lifted)
 {
--- a/libraries/discovery/evacuations.hpp
+++ b/libraries/discovery/evacuations.hpp
@@ -23,6 +23,9 @@
     void apply_all(std::vector<place_name> const& evacuated, store_era era, time_point now);
     void apply_changes(std::vector<place_name> const& evacuated,
                        std::vector<place_name> const& lifted);
+    /// Gives the evacuations that the store lacks the whole grace again: call it while the store
+    /// can't be read, as they may have been written again.
+    void restart_grace(time_point now);
     /// Lifts the evacuations that weren't written again in time.
     void expire(time_point now);
 
--- a/services/burdockstep_gateway/discovery/directives_reader.cpp
+++ b/services/burdockstep_gateway/discovery/directives_reader.cpp
@@ -111,7 +111,7 @@
     update_evacuations(answer, is_full_read);
     if (answer.content.routing)
         apply_document(answer.content.routing);
-    position_ = std::max(position_, answer.position);
+    position_ = is_full_read ? answer.position : std::max(position_, answer.position);
     set_last_change(answer.content.last_change);
     // If this answer is at least as new as the change that a peer announced but does not contain
     // it, the change was a removal, which leaves no row.
@@ -139,7 +139,10 @@
 
 void directives_reader::expire_evacuations()
 {
-    evacuations_.expire(context_.clock.now());
+    time_point const now = context_.clock.now();
+    if (full_read_pending_ || !store_monitor_.is_reachable())
+        evacuations_.restart_grace(now);
+    evacuations_.expire(now);
     publish_evacuations(position_);
     if (evacuations_.has_unconfirmed())
         evacuation_timer_.start_once(evacuation_check_interval, [this] { expire_evacuations(); });
--- a/services/burdockstep_gateway/discovery/entries_reader.cpp
+++ b/services/burdockstep_gateway/discovery/entries_reader.cpp
@@ -124,7 +124,7 @@
     }
     if (answer.position < last_change_) {
         // This list is older than an update already applied from another entry.
-        read_all();
+        retry(true);
         return;
     }
     bool const is_first_read = !std::exchange(first_read_done_, true);
--- a/tests/unit/store_restored_test.cpp
+++ b/tests/unit/store_restored_test.cpp
@@ -134,13 +134,40 @@
     evacuations set;
     set.apply_all({evacuated_place}, store_era(1), now);
     set.apply_all({}, store_era(2), now);
-    // A second restoration doesn't prolong it.
-    set.apply_all({}, store_era(3), now + ms(100));
+    set.apply_all({}, store_era(2), now + ms(100));
+    set.expire(now + evacuations::rewrite_grace - ms(1));
+    CHECK(has_place(set, evacuated_place));
     set.expire(now + evacuations::rewrite_grace);
     CHECK(set.places().empty());
     CHECK(!set.has_unconfirmed());
 }
 
+TEST(store_restored, evacuation_stays_for_the_whole_grace_after_a_second_restoration)
+{
+    evacuations set;
+    set.apply_all({evacuated_place}, store_era(1), now);
+    set.apply_all({}, store_era(2), now);
+    time_point const second_return = now + evacuations::rewrite_grace - ms(1);
+    set.apply_all({}, store_era(3), second_return);
+    set.expire(second_return + evacuations::rewrite_grace - ms(1));
+    CHECK(has_place(set, evacuated_place));
+    set.expire(second_return + evacuations::rewrite_grace);
+    CHECK(set.places().empty());
+}
+
+TEST(store_restored, grace_of_an_evacuation_counts_only_while_the_store_answers)
+{
+    evacuations set;
+    set.apply_all({evacuated_place}, store_era(1), now);
+    set.apply_all({}, store_era(2), now);
+    time_point const still_away = now + evacuations::rewrite_grace * 2;
+    set.restart_grace(still_away);
+    set.expire(still_away + evacuations::rewrite_grace - ms(1));
+    CHECK(has_place(set, evacuated_place));
+    set.expire(still_away + evacuations::rewrite_grace);
+    CHECK(set.places().empty());
+}
+
 TEST(store_restored, evacuation_in_the_copy_and_a_lift_in_the_new_history_count_at_once)
 {
     evacuations set;
