stand-ins: a retried idempotent request isn't a ticketed one that ran twice

Callers saw nothing wrong: the stand-in's count did.

Cause: the count took every id that begins with "once-". The load tool gives that prefix to all its requests, also to `levels` and `sheets`, which are idempotent and may run again (entry_engine: abandon_sends_without_answer, handle_lost_send; caller::on_done). On a slow machine an upstream is silent for longer than the entry waits for a head, the entry sends again, and both sends run.

Ruled out for requests with a ticket, by reading: libcurl's own repeat (entries send them on fresh connections, CURLOPT_FRESH_CONNECT); a lost or silent send (only idempotent ones are sent again); a new ticket after an unknown outcome (the load tool keeps the old one until a not-run answer). The stand-in counts at the start of service, after shedding.

Change: the stand-in counts runs at idempotent services apart (`idempotent_run_more_than_once`); `run_more_than_once` must be 0 as before. The load tool prints its sends as a last column.

Tests: test_path keeps its assertions on `run_more_than_once`; new: idempotent requests that ran again are at most as many as callers and entries sent again; a GET sent twice counts as idempotent; a POST that reaches an upstream twice is counted. test_failures asserted `>= 0`, which always held; it asserts `== 0` now.

--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -216,6 +216,12 @@
     def upstream_runs(self):
         return json.loads(http("GET", f"http://{self.upstreams}/control/runs")[2])
 
+    def upstream_address(self, service):
+        """Returns the address of the service's first upstream."""
+        document = tomllib.loads(self.deployment_file.read_text())
+        return next(each["addresses"][0] for each in document["upstreams"]
+                    if each["service"] == service)
+
     def callers(self, number):
         return self.addresses[f"entry-{number}"][0]
 
@@ -228,6 +234,12 @@
     def status(self, number):
         return json.loads(http("GET", f"http://{self.operators(number)}/v1/status")[2])
 
+    def metric(self, number, name):
+        """Returns the value of an entry's metric."""
+        text = http("GET", f"http://{self.operators(number)}/metrics")[2].decode()
+        return next(int(line.split()[1]) for line in text.splitlines()
+                    if line.startswith(f"burdockstep_{name} "))
+
     def all_see_each_other_serving(self, numbers):
         """True when each of these entries reports all of them as serving."""
         wanted = {f"entry-{number}" for number in numbers}
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -17,7 +17,7 @@
     assert code == 0, rows
     assert rows["levels"]["answered"] == rows["levels"]["calls"], rows
     assert rows["sheets"]["answered"] == rows["sheets"]["calls"], rows
-    assert deployment.upstream_runs()["run_more_than_once"] >= 0
+    assert deployment.upstream_runs()["run_more_than_once"] == 0
     print(f"kill: {rows}")
     # It restarts with the same addresses as a new incarnation, and gets the configuration again.
     deployment.start_entry(2)
--- a/tests/process/test_path.py
+++ b/tests/process/test_path.py
@@ -48,7 +48,28 @@
     for service, row in rows.items():
         assert row["answered"] == row["calls"], row
     assert set(rows) == {"levels", "transfers", "sheets"}
-    assert deployment.upstream_runs()["run_more_than_once"] == 0
+    runs = deployment.upstream_runs()
+    assert runs["run_more_than_once"] == 0, runs
+    # An idempotent request runs again only if its caller or an entry has sent it again.
+    sent_again = sum(int(rows[each]["sends"]) - int(rows[each]["calls"])
+                     for each in ("levels", "sheets"))
+    sent_again += sum(deployment.metric(number, name) for number in (1, 2, 3)
+                      for name in ("retries_total", "silent_sends_total"))
+    assert runs["idempotent_run_more_than_once"] <= sent_again, (runs, sent_again)
+
+    # An idempotent request may run again, which isn't a ticketed request that ran more than once.
+    before = deployment.upstream_runs()
+    again = f"http://{deployment.callers(1)}/v1/call/levels/work"
+    for _ in range(2):
+        assert http("GET", again, headers={"x-request-id": "once-c"})[0] == 200
+    runs = deployment.upstream_runs()
+    assert runs["run_more_than_once"] == 0, runs
+    assert runs["idempotent_run_more_than_once"] == before["idempotent_run_more_than_once"] + 1, runs
+    # The count does include a request that isn't idempotent and reaches an upstream twice.
+    for _ in range(2):
+        assert http("POST", f"http://{deployment.upstream_address('transfers')}/work", b"move 6",
+                    {"x-request-id": "once-d"})[0] == 200
+    assert deployment.upstream_runs()["run_more_than_once"] == 1, deployment.upstream_runs()
 
     # An invalid document is refused with the valid values and leaves the configuration unchanged.
     bad = deployment.folder / "bad.toml"
--- a/utilities/burdockstep_load/load_run.cpp
+++ b/utilities/burdockstep_load/load_run.cpp
@@ -67,7 +67,8 @@
 {
     std::uint64_t const sequence_number = ++started_calls_;
     caller_request request;
-    // The upstream stand-ins report requests with the prefix "once-" that run more than once.
+    // The upstream stand-ins report requests with the prefix "once-" that run more than once,
+    // those of idempotent services separately.
     request.id = fmt::format("once-{:x}-{}", options_.seed, sequence_number);
     request.service = draw_service();
     if (!options_.caller_regions.empty())
--- a/utilities/burdockstep_load/main.cpp
+++ b/utilities/burdockstep_load/main.cpp
@@ -90,13 +90,13 @@
 void print_results(load_run const& run, bool csv)
 {
     char const* const format =
-        csv ? "{},{},{},{},{},{},{},{:.1f},{:.1f},{:.1f},{:.1f}\n"
-            : "{:<12}{:>8}{:>10}{:>9}{:>9}{:>7}{:>11}{:>10.1f}{:>10.1f}{:>10.1f}{:>10.1f}\n";
+        csv ? "{},{},{},{},{},{},{},{:.1f},{:.1f},{:.1f},{:.1f},{}\n"
+            : "{:<12}{:>8}{:>10}{:>9}{:>9}{:>7}{:>11}{:>10.1f}{:>10.1f}{:>10.1f}{:>10.1f}{:>8}\n";
     char const* const heading_format =
-        csv ? "{},{},{},{},{},{},{},{},{},{},{}\n"
-            : "{:<12}{:>8}{:>10}{:>9}{:>9}{:>7}{:>11}{:>10}{:>10}{:>10}{:>10}\n";
+        csv ? "{},{},{},{},{},{},{},{},{},{},{},{}\n"
+            : "{:<12}{:>8}{:>10}{:>9}{:>9}{:>7}{:>11}{:>10}{:>10}{:>10}{:>10}{:>8}\n";
     fmt::print(fmt::runtime(heading_format), "service", "calls", "answered", "not-run", "unknown",
-               "wrong", "no-lookup", "p50-ms", "p99-ms", "p99.9-ms", "max-ms");
+               "wrong", "no-lookup", "p50-ms", "p99-ms", "p99.9-ms", "max-ms", "sends");
     for (auto const& [service, each] : run.results()) {
         std::uint64_t call_count = 0;
         for (std::uint64_t const count : each.outcome_counts)
@@ -106,7 +106,8 @@
             each.count(caller_outcome::not_run), each.count(caller_outcome::unknown),
             each.count(caller_outcome::wrong_answer), each.count(caller_outcome::no_lookup),
             milliseconds(each.latency.percentile(0.5)), milliseconds(each.latency.percentile(0.99)),
-            milliseconds(each.latency.percentile(0.999)), milliseconds(each.latency.longest()));
+            milliseconds(each.latency.percentile(0.999)), milliseconds(each.latency.longest()),
+            each.sends);
     }
 }
 
--- a/utilities/burdockstep_standin/upstream_standin.cpp
+++ b/utilities/burdockstep_standin/upstream_standin.cpp
@@ -18,8 +18,7 @@
 
 upstream_standin::upstream_standin(event_loop& loop, upstream const& definition,
                                    upstream_behaviour behaviour, delay_function one_way_delay,
-                                   random_source& random,
-                                   std::unordered_map<std::string, unsigned>& run_counts)
+                                   random_source& random, request_run_counts& run_counts)
     : loop_(loop), definition_(definition), behaviour_(behaviour),
       one_way_delay_(std::move(one_way_delay)), random_(random), run_counts_(run_counts),
       server_(loop, {})
--- a/utilities/burdockstep_standin/upstream_standin.hpp
+++ b/utilities/burdockstep_standin/upstream_standin.hpp
@@ -15,6 +15,9 @@
 
 namespace burdockstep {
 
+/// Number of times that upstreams ran the request with each id.
+using request_run_counts = std::unordered_map<std::string, unsigned>;
+
 /// Behaviour of an upstream without faults.
 struct upstream_behaviour
 {
@@ -49,7 +52,7 @@
     /// is shared by all upstreams and counts how often each request id has run.
     upstream_standin(event_loop& loop, upstream const& definition, upstream_behaviour behaviour,
                      delay_function one_way_delay, random_source& random,
-                     std::unordered_map<std::string, unsigned>& run_counts);
+                     request_run_counts& run_counts);
 
     result<address> try_listen(address const& at);
     upstream const& definition() const { return definition_; }
@@ -92,7 +95,7 @@
     upstream_behaviour behaviour_;
     delay_function one_way_delay_;
     random_source& random_;
-    std::unordered_map<std::string, unsigned>& run_counts_;
+    request_run_counts& run_counts_;
     system_clock_source clock_;
     http_server server_;
     upstream_faults faults_;
--- a/utilities/burdockstep_standin/upstreams_standin.cpp
+++ b/utilities/burdockstep_standin/upstreams_standin.cpp
@@ -11,6 +11,13 @@
 
 namespace {
 
+std::uint64_t count_repeated_requests(request_run_counts const& counts)
+{
+    return static_cast<std::uint64_t>(std::ranges::count_if(counts, [](auto const& each) {
+        return each.second > 1 && each.first.starts_with("once-");
+    }));
+}
+
 double parse_double(std::string const& text)
 {
     return text.empty() ? 0.0 : std::strtod(text.c_str(), nullptr);
@@ -54,10 +61,11 @@
 {
     for (upstream& each : document_.upstreams) {
         upstream const& target = each;
+        service const& definition = *document_.find_service(each.service);
         auto standin = std::make_unique<upstream_standin>(
-            loop_, each, normal_behaviour(*document_.find_service(each.service), speed_factor_),
+            loop_, each, normal_behaviour(definition, speed_factor_),
             [this, &target](address const& caller) { return one_way_delay(caller, target); },
-            random_, run_counts_);
+            random_, definition.idempotent ? idempotent_run_counts_ : ticketed_run_counts_);
         BOOST_LEAF_ASSIGN(each.at, standin->try_listen(each.at));
         upstream_standins_.push_back(std::move(standin));
     }
@@ -78,11 +86,6 @@
 
 void upstreams_standin::reply_with_run_counts(http_exchange& exchange) const
 {
-    std::uint64_t repeated_requests = 0;
-    for (auto const& [id, count] : run_counts_) {
-        if (count > 1 && id.starts_with("once-"))
-            ++repeated_requests;
-    }
     json::object upstreams;
     for (auto const& each : upstream_standins_)
         upstreams[each->definition().name.get()] =
@@ -90,9 +93,12 @@
                          {"busy", each->busy_slots()},
                          {"arrivals", each->arrivals()},
                          {"in_progress", each->in_progress()}};
-    json::object const body{{"requests", run_counts_.size()},
-                            {"run_more_than_once", repeated_requests},
-                            {"upstreams", std::move(upstreams)}};
+    // Only an idempotent request may run again, after a send whose outcome is unknown.
+    json::object const body{
+        {"requests", ticketed_run_counts_.size() + idempotent_run_counts_.size()},
+        {"run_more_than_once", count_repeated_requests(ticketed_run_counts_)},
+        {"idempotent_run_more_than_once", count_repeated_requests(idempotent_run_counts_)},
+        {"upstreams", std::move(upstreams)}};
     exchange.reply(200, {{"content-type", "application/json"}}, json::serialize(body) + "\n");
 }
 
--- a/utilities/burdockstep_standin/upstreams_standin.hpp
+++ b/utilities/burdockstep_standin/upstreams_standin.hpp
@@ -8,7 +8,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace burdockstep {
@@ -43,7 +42,10 @@
     double speed_factor_;
     system_clock_source clock_;
     http_server control_server_;
-    std::unordered_map<std::string, unsigned> run_counts_;
+    /// Runs of each request id, at the upstreams of services that aren't idempotent.
+    request_run_counts ticketed_run_counts_;
+    /// Runs of each request id, at the upstreams of idempotent services.
+    request_run_counts idempotent_run_counts_;
     std::vector<std::unique_ptr<upstream_standin>> upstream_standins_;
 };
 
