tests: a server test ends after its connection has

The test destroyed its loop while a gracefully closing connection was open, whose state is freed when the caller's close is read. In a process this happens at its exit only. The test now runs the loop until then; its checks are unchanged.

--- a/tests/unit/http1_server_test.cpp
+++ b/tests/unit/http1_server_test.cpp
@@ -171,6 +171,8 @@
     loop.run();
     // The operating system sends what it has taken over, although the loop no longer runs.
     caller.join();
+    // Lets the server notice that the caller has closed.
+    run_loop_while([] { std::this_thread::sleep_for(ms(50)); });
     CHECK(answer.size() > body_bytes);
     CHECK(answer.find("still open") == std::string::npos);
 }
