--- a/review/common/replacement.py
+++ b/review/common/replacement.py
@@ -5,9 +5,10 @@
 
 from deployment import BOUNDS, ZONES
 
-ZONE_OF_MACHINE = ("quimper", "quimper", "vannes", "vannes", "rennes", "rennes",
-                   "brest", "lorient", "fougeres")
-ADD_GAP_S = 0.5
+# Eighteen machines: twice the nine of the site.
+ZONE_OF_MACHINE = 2 * ("quimper", "quimper", "vannes", "vannes", "rennes", "rennes",
+                       "brest", "lorient", "fougeres")
+ADD_GAP_S = 0.3
 STOP_GAP_S = 1.0
 START_DELAY_S = 0.3
 SETTLE_S = 4.0
