http1: a stream that failed in any operation has no orderly end

Cause: the operating system reports a broken connection to one operation only. The write under way took the error and dropped it; the read after it and the peek that tells a reset from an end both found an orderly end.

Ruled out: that libuv's own end of file after a partial read comes before the error.

Change: the stream keeps that a write, or the peek at unread input, failed; an end is orderly only when a read sees it and nothing has failed before.

--- a/libraries/http1/stream_socket.cpp
+++ b/libraries/http1/stream_socket.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 namespace burdockstep::http1 {
@@ -23,23 +24,33 @@
     return buffer;
 }
 
-/// libuv reports a reset that follows received bytes as an end of file. Peeks at the socket to tell
-/// the two apart.
-stream_end classify_end(uv_stream_t* stream)
+/// What a peek at a socket shows.
+enum class peeked_input
+{
+    none,
+    bytes,
+    end,
+    failure
+};
+
+peeked_input peek(uv_handle_t const* handle)
 {
     uv_os_fd_t descriptor = -1;
     char byte = 0;
-    if (uv_fileno(reinterpret_cast<uv_handle_t*>(stream), &descriptor) != 0)
-        return stream_end::reset;
-    ssize_t const peeked_bytes = recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-    return peeked_bytes == 0 ? stream_end::closed : stream_end::reset;
+    if (uv_fileno(handle, &descriptor) != 0)
+        return peeked_input::failure;
+    ssize_t const size = recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    if (size == 0)
+        return peeked_input::end;
+    if (size > 0)
+        return peeked_input::bytes;
+    return errno == EAGAIN || errno == EINTR ? peeked_input::none : peeked_input::failure;
 }
 
-struct write_request
+bool is_failure(int status)
 {
-    uv_write_t request{};
-    std::string bytes;
-};
+    return status < 0 && status != UV_EAGAIN && status != UV_ECANCELED;
+}
 
 void set_unacknowledged_timeout(uv_tcp_t& handle, duration limit)
 {
@@ -53,6 +64,13 @@
 
 } // namespace
 
+struct stream_socket::write_request
+{
+    uv_write_t request{};
+    std::string bytes;
+    state* owner = nullptr; ///< Outlives the request: closing cancels it.
+};
+
 struct stream_socket::state
 {
     uv_tcp_t handle{};
@@ -63,6 +81,18 @@
     std::function<void(std::size_t)> on_discarded;
     bool closing_gracefully = false;
     bool handle_is_closing = false;
+    /// The operating system reports a broken connection to one operation only, and an orderly end
+    /// to those after it.
+    bool has_failed = false;
+
+    /// Returns how the stream has ended when a read finds no more bytes.
+    stream_end end_after_read(ssize_t read_status)
+    {
+        // libuv reports a reset that follows received bytes as an end of file, too.
+        bool const is_orderly = read_status == UV_EOF && !has_failed &&
+                                peek(reinterpret_cast<uv_handle_t*>(&handle)) == peeked_input::end;
+        return is_orderly ? stream_end::closed : stream_end::reset;
+    }
 
     void close()
     {
@@ -123,7 +153,7 @@
             }
             if (size < 0) {
                 uv_read_stop(stream);
-                report_end(read_state, size == UV_EOF ? classify_end(stream) : stream_end::reset);
+                report_end(read_state, read_state->end_after_read(size));
                 return;
             }
             read_state->listener->on_bytes(
@@ -171,21 +201,27 @@
     if (state_->handle.write_queue_size == 0) {
         uv_buf_t const buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
         int const accepted_bytes = uv_try_write(stream, &buffer, 1);
+        state_->has_failed = state_->has_failed || is_failure(accepted_bytes);
         sent_bytes = accepted_bytes > 0 ? static_cast<std::size_t>(accepted_bytes) : 0;
     }
     if (sent_bytes == bytes.size())
         return;
-    auto* const request = new write_request{.request = {}, .bytes = bytes.substr(sent_bytes)};
+    auto* const request =
+        new write_request{.request = {}, .bytes = bytes.substr(sent_bytes), .owner = state_};
     request->request.data = request;
     uv_buf_t const buffer =
         uv_buf_init(request->bytes.data(), static_cast<unsigned>(request->bytes.size()));
     int const started =
         uv_write(&request->request, stream, &buffer, 1, [](uv_write_t* done, int status) {
-            (void)status; // A broken connection is reported by the read callback.
-            delete static_cast<write_request*>(done->data);
+            auto* const ended = static_cast<write_request*>(done->data);
+            // The read callback reports the end.
+            ended->owner->has_failed = ended->owner->has_failed || is_failure(status);
+            delete ended;
         });
-    if (started != 0)
+    if (started != 0) {
+        state_->has_failed = true;
         delete request;
+    }
 }
 
 std::size_t stream_socket::unsent_bytes() const
@@ -195,12 +231,11 @@
 
 bool stream_socket::has_unread_input() const
 {
-    uv_os_fd_t descriptor = -1;
-    char byte = 0;
-    if (state_ == nullptr ||
-        uv_fileno(reinterpret_cast<uv_handle_t const*>(&state_->handle), &descriptor) != 0)
+    if (state_ == nullptr)
         return false;
-    return recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0;
+    peeked_input const input = peek(reinterpret_cast<uv_handle_t const*>(&state_->handle));
+    state_->has_failed = state_->has_failed || input == peeked_input::failure;
+    return input == peeked_input::bytes || input == peeked_input::end;
 }
 
 void stream_socket::close()
--- a/libraries/http1/stream_socket.hpp
+++ b/libraries/http1/stream_socket.hpp
@@ -15,7 +15,7 @@
 /// How a TCP stream ended.
 enum class stream_end
 {
-    closed, ///< The peer closed its side without an error.
+    closed, ///< The peer closed its side, and no operation on the connection had failed before.
     reset   ///< The connection was reset, timed out or could not be made.
 };
 
@@ -62,6 +62,7 @@
 
 private:
     struct state;
+    struct write_request;
     static void start_reading(state& self);
     static void report_end(state* self, stream_end end_reason);
 
--- a/meta/prove_red.sh
+++ b/meta/prove_red.sh
@@ -165,4 +165,6 @@
     "if (table.digest(compared) != each)" "if (table.digest(compared) != each && false)"
 break_one "a reported loss is believed without a check" libraries/membership/member_directory.cpp \
     "if (now < suspected.gives_up_at)" "if (now < suspected.gives_up_at && !suspected.is_reported)"
+break_one "a failed write does not count for the end of a stream" libraries/http1/stream_socket.cpp \
+    "read_status == UV_EOF && !has_failed &&" "read_status == UV_EOF &&"
 exit "$unnoticed"
