discovery: an older start of an upstream never replaces a newer one

Cause: starts were compared for being different. The former start replaced the known one, and the mark of leaving belongs to the known one.

Ruled out: that the mark is lost. In the unit test it is kept, and counts again at the next write of the present start.

Change: of two starts the later one counts, also for an upstream that was removed. A clock that stepped back doesn't lock an upstream out: the start that goes on writing for 6 s, while the other one is silent, takes over. While two starts write, all their registrations are significant to entries that hear the readers.

Tests: three of the four new ones fail on the code before; the fourth shows that the newer start's writes are told on.

--- a/libraries/discovery/upstream_registry.cpp
+++ b/libraries/discovery/upstream_registry.cpp
@@ -7,13 +7,25 @@
 
 namespace {
 
-bool is_new_incarnation(upstream_registration const& before, upstream_registration const& after)
+/// How the start that wrote a registration relates to the known one.
+enum class start_order
 {
-    if (before.at != after.at || before.service != after.service)
-        return true;
-    if (before.started_ms != 0 && after.started_ms != 0)
-        return before.started_ms != after.started_ms;
-    return after.heartbeat < before.heartbeat;
+    older,
+    same,
+    newer
+};
+
+start_order order_of_starts(upstream_registration const& known,
+                            upstream_registration const& received)
+{
+    bool const has_moved = known.at != received.at || known.service != received.service;
+    if (known.started_ms != 0 && received.started_ms != 0) {
+        if (known.started_ms != received.started_ms)
+            return received.started_ms < known.started_ms ? start_order::older : start_order::newer;
+        return has_moved ? start_order::newer : start_order::same;
+    }
+    bool const counts_anew = received.heartbeat < known.heartbeat;
+    return has_moved || counts_anew ? start_order::newer : start_order::same;
 }
 
 } // namespace
@@ -67,8 +79,10 @@
     upstream_registration const& now = *change.registration;
     bool const became_cold =
         now.cold_left > duration::zero() && known.cold_left == duration::zero();
-    return is_new_incarnation(known, now) || now.state != known.state || now.slots != known.slots ||
-           now.place != known.place || became_cold;
+    bool const is_disputed = disputed_starts_.contains(change.name);
+    return is_disputed || order_of_starts(known, now) != start_order::same ||
+           now.state != known.state || now.slots != known.slots || now.place != known.place ||
+           became_cold;
 }
 
 void upstream_registry::apply_registration(upstream_registration const& registration,
@@ -80,8 +94,13 @@
         mark_missing(registration.name, now, true);
         return;
     }
+    start_order const order =
+        is_new ? start_order::newer : order_of_starts(known.registration, registration);
+    if (order == start_order::older && !is_start_after_clock_step(registration, now))
+        return;
+    disputed_starts_.erase(registration.name);
     missing_.erase(registration.name);
-    bool const is_replacement = is_new || is_new_incarnation(known.registration, registration);
+    bool const is_replacement = order != start_order::same;
     if (is_replacement) {
         auto const region = regions_by_place_.find(registration.place);
         known = {.registration = registration,
@@ -111,6 +130,21 @@
         ++change_count_;
 }
 
+bool upstream_registry::is_start_after_clock_step(upstream_registration const& registration,
+                                                  time_point now)
+{
+    disputed_start const first_seen{
+        .started_ms = registration.started_ms, .heartbeat = registration.heartbeat, .since = now};
+    auto const [position, is_first] = disputed_starts_.try_emplace(registration.name, first_seen);
+    disputed_start& disputed = position->second;
+    if (is_first || disputed.started_ms != registration.started_ms) {
+        disputed = first_seen;
+        return false;
+    }
+    return registration.heartbeat > disputed.heartbeat &&
+           now - disputed.since >= options_.silence_of_ended_start;
+}
+
 bool upstream_registry::is_outdated_copy(known_upstream const& known,
                                          upstream_registration const& registration) const
 {
@@ -266,6 +300,8 @@
         return item.second.removed &&
                now - item.second.removed_at > options_.removed_upstream_retention;
     });
+    std::erase_if(disputed_starts_,
+                  [&](auto const& item) { return !upstreams_.contains(item.first); });
     return change_count_ != before;
 }
 
--- a/libraries/discovery/upstream_registry.hpp
+++ b/libraries/discovery/upstream_registry.hpp
@@ -42,6 +42,9 @@
     /// A removed upstream is forgotten after this time; by then the requests that were in progress
     /// at it have ended.
     duration removed_upstream_retention = std::chrono::seconds(30);
+    /// The start that is known has ended when it writes nothing for this time while another start
+    /// writes: several intervals in which a live upstream writes.
+    duration silence_of_ended_start = std::chrono::seconds(6);
     /// When more than this fraction of a service's usable upstreams lose their registrations at the
     /// same time, the store is assumed to have lost them while the upstreams still run: the
     /// upstreams stay usable for `mass_loss_grace`.
@@ -50,6 +53,8 @@
 };
 
 /// Tracks the state of all upstreams. Once an incarnation drains, it never becomes usable again.
+/// Of two starts of an upstream the one with the later start time is the present one, unless it is
+/// silent while the other goes on writing: then a clock has stepped back.
 class upstream_registry
 {
 public:
@@ -62,7 +67,8 @@
                         store_era era = {});
     void apply_changes(std::vector<registration_change> const& changes, time_point now);
     /// Returns true when a change carries more than a new heartbeat of a known upstream or the
-    /// removal of an unknown one.
+    /// removal of an unknown one. While two starts of an upstream write, all their heartbeats
+    /// count.
     bool is_significant_change(registration_change const& change) const;
     /// Starts the grace period for mass losses. Called when the store answers again after an
     /// outage.
@@ -103,11 +109,23 @@
         bool in_restored_copy = false; ///< Lost with the store's history: it may be written again.
     };
 
+    /// A start that writes registrations though a newer start is known.
+    struct disputed_start
+    {
+        std::int64_t started_ms = 0;
+        std::int64_t heartbeat = 0; ///< Of its first registration since the newer start's last one.
+        time_point since;
+    };
+
     /// Returns true if this incarnation, whose start is known, was reported as leaving.
     bool has_leaving_mark(upstream_registration const& registration) const;
     void keep_leaving_mark(upstream_name const& name, upstream_incarnation incarnation,
                            time_point now);
     void apply_registration(upstream_registration const& registration, time_point now);
+    /// Returns true if the start of this registration, which is older than the known one by the
+    /// clock, is the present one after all: it goes on writing, and the known one doesn't. A single
+    /// write of a former start may be performed late.
+    bool is_start_after_clock_step(upstream_registration const& registration, time_point now);
     /// Returns true for a registration that an older copy of the store has brought back: a former
     /// incarnation, or one that was removed.
     bool is_outdated_copy(known_upstream const& known,
@@ -122,6 +140,7 @@
     std::map<upstream_name, known_upstream> upstreams_;
     std::map<upstream_name, missing_registration> missing_; ///< Gone, not removed yet.
     std::map<upstream_name, leaving_mark> leaving_marks_;
+    std::map<upstream_name, disputed_start> disputed_starts_;
     std::set<place_name> evacuated_places_;
     time_point recovery_grace_end_;
     store_era era_;             ///< Of the last snapshot.
--- a/meta/prove_red.sh
+++ b/meta/prove_red.sh
@@ -167,4 +167,7 @@
     "if (now < suspected.gives_up_at)" "if (now < suspected.gives_up_at && !suspected.is_reported)"
 break_one "a failed write does not count for the end of a stream" libraries/http1/stream_socket.cpp \
     "read_status == UV_EOF && !has_failed &&" "read_status == UV_EOF &&"
+break_one "a former start replaces a newer one" libraries/discovery/upstream_registry.cpp \
+    "if (order == start_order::older && !is_start_after_clock_step(registration, now))" \
+    "if (order == start_order::older && !is_start_after_clock_step(registration, now) && false)"
 exit "$unnoticed"
--- a/tests/unit/upstream_registry_test.cpp
+++ b/tests/unit/upstream_registry_test.cpp
@@ -17,6 +17,14 @@
     return {.name = registration.name, .registration = registration};
 }
 
+registration_change registered_by_start(std::int64_t started_ms, std::int64_t heartbeat,
+                                        upstream_state state = upstream_state::ready)
+{
+    registration_change change = registered(1, heartbeat, state);
+    change.registration->started_ms = started_ms;
+    return change;
+}
+
 registration_change unregistered(unsigned number)
 {
     return {.name = sample_upstream(number).registration.name, .registration = {}};
@@ -75,6 +83,56 @@
     CHECK(upstream_is_usable(1));
 }
 
+// Guards against a late write of a former start that makes a leaving upstream usable again.
+TEST(upstream_registry, late_write_of_a_former_start_is_ignored)
+{
+    registry.apply_snapshot({registered_by_start(100, 40)}, now);
+    registry.apply_changes({registered_by_start(200, 1)}, now);
+    registry.mark_leaving(sample_upstream(1).registration.name, upstream_incarnation(200), now);
+    for (std::int64_t heartbeat = 41; heartbeat < 44; ++heartbeat) {
+        registry.apply_changes({registered_by_start(100, heartbeat)}, now);
+        CHECK(!upstream_is_usable(1));
+        now += ms(1'500);
+        registry.apply_changes({registered_by_start(200, heartbeat - 39, upstream_state::draining)},
+                               now);
+        CHECK(!upstream_is_usable(1));
+    }
+}
+
+// Guards against an upstream that is locked out because its clock stepped back before it restarted.
+TEST(upstream_registry, restarted_upstream_whose_clock_stepped_back_becomes_usable)
+{
+    registry.apply_snapshot({registered_by_start(200, 40, upstream_state::draining)}, now);
+    for (std::int64_t heartbeat = 1; heartbeat <= 5; ++heartbeat) {
+        CHECK(registry.is_significant_change(registered_by_start(100, heartbeat)));
+        registry.apply_changes({registered_by_start(100, heartbeat)}, now);
+        now += ms(1'500);
+    }
+    CHECK(upstream_is_usable(1));
+    CHECK(!registry.is_significant_change(registered_by_start(100, 6)));
+}
+
+// Guards against a removed upstream that comes back by a late write of a former start.
+TEST(upstream_registry, late_write_of_a_former_start_does_not_bring_back_a_removed_upstream)
+{
+    register_upstreams(4);
+    registry.apply_changes({registered_by_start(200, 1)}, now);
+    registry.apply_changes({unregistered(1)}, now);
+    registry.apply_changes({registered_by_start(100, 41)}, now);
+    CHECK(!upstream_is_usable(1));
+}
+
+// Entries that hear only significant changes must see that the newer start still writes.
+TEST(upstream_registry, write_of_the_newer_start_after_a_former_one_is_significant)
+{
+    registry.apply_snapshot({registered_by_start(200, 1)}, now);
+    CHECK(!registry.is_significant_change(registered_by_start(200, 2)));
+    registry.apply_changes({registered_by_start(100, 41)}, now);
+    CHECK(registry.is_significant_change(registered_by_start(200, 2)));
+    registry.apply_changes({registered_by_start(200, 2)}, now);
+    CHECK(!registry.is_significant_change(registered_by_start(200, 3)));
+}
+
 TEST(upstream_registry, upstream_without_registration_is_unusable_at_once)
 {
     register_upstreams(4);
