--- a/meta/prove_red.sh
+++ b/meta/prove_red.sh
@@ -158,12 +158,12 @@
     "((has_status_line_inside_head() && false) ||"
 break_one "a drained region runs requests again when the others have no room" \
     libraries/entry/entry_routing.cpp "outward.note_refused();" ""
-break_one "lost entries stay on the ring of watchers" libraries/membership/member_directory.cpp \
+break_one "lost entries stay on the ring of watchers" libraries/membership/member_watching.cpp \
     "return member.view.is_reachable() || is_being_introduced;" \
     "return member.view.is_reachable() || is_being_introduced || true;"
 break_one "views that differ are not repaired" libraries/membership/member_directory.cpp \
     "if (table.digest(compared) != each)" "if (table.digest(compared) != each && false)"
-break_one "a reported loss is believed without a check" libraries/membership/member_directory.cpp \
+break_one "a reported loss is believed without a check" libraries/membership/member_watching.cpp \
     "if (now < suspected.gives_up_at)" "if (now < suspected.gives_up_at && !suspected.is_reported)"
 break_one "a failed write does not count for the end of a stream" libraries/http1/stream_socket.cpp \
     "read_status == UV_EOF && !has_failed &&" "read_status == UV_EOF &&"
