teams: callers are identified by keys, and teams' homes and priority hold

Cause: the configuration's teams weren't read. A caller's key went on to the upstream, no team was stated there, and unknown keys were served.

The engine identifies a caller once its route is known, refuses an unknown key with 401 only while its knowledge is fresh and with 503 otherwise, checks trust again before each send, keeps to the homes of route and team both, and sends waiting requests by the team's rank before the route's. The adapter removes the key and any team that the caller stated, on every send. Without teams in the configuration nothing changes.

Weighed: denying unknown keys at once would deny new keys on entries that hear of a new version late. Keys as texts in the index would be simpler but end up in logs sooner or later.

--- a/libraries/core/ids.hpp
+++ b/libraries/core/ids.hpp
@@ -19,6 +19,8 @@
 /// Tells the incarnations of an upstream apart: the wall clock, in milliseconds, of its start; 0 if
 /// the upstream didn't report it.
 using upstream_incarnation = strong_type<std::int64_t, struct upstream_incarnation_tag>;
+/// Name of a team: the callers that share keys, a quota and a priority.
+using team_name = strong_type<std::string, struct team_name_tag>;
 /// Name of an entry instance in the platform's instance list. It stays the same over restarts.
 using instance_name = strong_type<std::string, struct instance_name_tag>;
 /// Random id of one run of a daemon; a restarted instance has a new one.
--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -23,6 +24,21 @@
 /// so that it can complete.
 constexpr double min_service_times_for_repeat = 1.0;
 
+/// The status with which a request that hasn't run is refused.
+int status_of_refusal(refusal reason)
+{
+    switch (reason) {
+    case refusal::no_route:
+        return status_not_found;
+    case refusal::unknown_key:
+        return status_unauthorized;
+    case refusal::over_quota:
+        return status_too_many_requests;
+    default:
+        return status_unavailable;
+    }
+}
+
 /// True for statuses that tell callers that their request has not run and never will.
 bool promises_not_run(int status)
 {
@@ -172,16 +188,18 @@
             lacks_room ? refusal_reason::no_room : refusal_reason::no_upstream;
         refusal_outcome const outcome = std::move(*waiting).refuse(outcome_reason);
         bool const not_run = std::holds_alternative<not_run_outcome>(outcome);
-        answer.status = not_run ? status_unavailable : status_bad_gateway;
-        if (not_run && reason == refusal::no_route)
-            answer.status = status_not_found;
-        else if (not_run)
+        answer.status = not_run ? status_of_refusal(reason) : status_bad_gateway;
+        bool const may_succeed_later =
+            answer.status == status_unavailable || answer.status == status_too_many_requests;
+        if (may_succeed_later)
             answer.retry_after = retry_after(request, reason, now);
+        if (not_run)
+            return_quota_token(request, now);
     }
     else {
         answer.status = reason == refusal::answer_timeout ? status_timeout : status_bad_gateway;
     }
-    ++(answer.status == status_unavailable ? counters_.refused : counters_.failed);
+    ++(promises_not_run(answer.status) ? counters_.refused : counters_.failed);
     ++counters_.refusals[static_cast<std::size_t>(reason)];
     out.emplace_back(answer);
     finish(request, now);
@@ -192,6 +210,8 @@
 {
     if (reason == refusal::stopping)
         return options_.stopping_retry_delay;
+    if (reason == refusal::over_quota)
+        return request.quota_retry_after;
     if (request.matched_route == nullptr)
         return default_retry_after;
     time_point const accepted_from = acceptance_time(request).value_or(now);
@@ -258,7 +278,7 @@
     if (pool == pools_.end())
         return earliest;
     for (upstream_tracker const* const each : pool->second.upstreams) {
-        if (!each->known().is_usable() || !may_run_in(*request.matched_route, each->known().region))
+        if (!each->known().is_usable() || !may_run_in(request, each->known().region))
             continue;
         time_point const end = each->requested_pause_end();
         earliest = earliest ? std::min(*earliest, end) : end;
@@ -317,6 +337,8 @@
     ++counters_.callers_gone;
     if (!request.at_upstream) {
         std::erase(waiting_requests_[request.service], id);
+        if (request.sends == 0)
+            return_quota_token(request, now);
         finish(request, now);
         return out;
     }
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -48,6 +48,12 @@
         return "answer-timeout";
     case refusal::stopping:
         return "stopping";
+    case refusal::unknown_key:
+        return "unknown-key";
+    case refusal::unconfirmed_key:
+        return "unconfirmed-key";
+    case refusal::over_quota:
+        return "over-quota";
     }
     return "unknown";
 }
@@ -71,7 +77,8 @@
 
 forwarding_engine::forwarding_engine(forwarding_options options, random_source& random)
     : options_(std::move(options)), random_(random), admission_(options_.admission, random),
-      stop_admission_(options_.stop_admission), region_share_(options_.region_shift_limits),
+      stop_admission_(options_.stop_admission), key_trust_(options_.key_trust),
+      region_share_(options_.region_shift_limits),
       place_round_trip_(options_.default_place_round_trip)
 {}
 
@@ -127,6 +134,7 @@
         return out;
     document_ = std::move(document);
     routes_ = std::make_unique<route_table>(document_);
+    teams_ = team_directory(document_->teams);
     for (service_settings const& each : document_->services)
         pools_.try_emplace(each.name);
     place_all_waiting(now, out);
@@ -273,6 +281,10 @@
         return out;
     }
     request.deadline = std::min(request.deadline, now + request.matched_route->timeout);
+    if (auto const reason = identify_caller(request, now)) {
+        end_with_refusal(request, *reason, now, out);
+        return out;
+    }
     if (!stop_admission_.may_take(request.deadline)) {
         end_with_refusal(request, refusal::stopping, now, out);
         return out;
@@ -284,16 +296,27 @@
         end_with_refusal(request, refusal::no_room, now, out);
         return out;
     }
+    if (take_quota_token(request, now, out))
+        place_new_request(request, now, out);
+    return out;
+}
+
+void forwarding_engine::place_new_request(pending_request& request, time_point now, commands& out)
+{
+    service_pool& pool = pools_.at(request.service);
     begin_spill(pool, now);
     bool const placed = try_place(request, now, out);
     pool.spill.note(placed);
     if (!placed)
         hold_or_refuse(request, now, out);
-    return out;
 }
 
 void forwarding_engine::hold_or_refuse(pending_request& request, time_point now, commands& out)
 {
+    if (!may_act_on_key(request, now)) {
+        end_with_refusal(request, refusal::unconfirmed_key, now, out);
+        return;
+    }
     auto const& upstreams = pools_.at(request.service).upstreams;
     double slots = 0;
     for (upstream_tracker const* const each : upstreams) {
@@ -310,8 +333,7 @@
     auto const entries = static_cast<double>(std::max<std::size_t>(own_region_entries_.size(), 1));
     auto const& waiting = waiting_requests_[request.service];
     auto const ahead = std::count_if(waiting.begin(), waiting.end(), [&](request_id each) {
-        return requests_.at(each).matched_route->urgency_rank <=
-               request.matched_route->urgency_rank;
+        return urgency_of(requests_.at(each)) <= urgency_of(request);
     });
     admission_inputs const inputs{
         .elapsed = now - request.arrived,
@@ -346,6 +368,10 @@
             continue;
         }
         request_id const id = request.arrival.id;
+        if (request.awaits_quota) {
+            end_with_refusal(request, refusal::deadline_passed, now, out);
+            continue;
+        }
         service_name const service = request.service;
         // Tries all waiting requests of the service by urgency, as others may precede this one.
         if (checked_services.insert(service).second)
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -13,6 +13,9 @@
 #include "libraries/routing/route_table.hpp"
 #include "libraries/steering/outbound_fraction_limiter.hpp"
 #include "libraries/steering/spill_controller.hpp"
+#include "libraries/teams/key_trust.hpp"
+#include "libraries/teams/quota_gate.hpp"
+#include "libraries/teams/team_directory.hpp"
 
 #include <array>
 #include <map>
@@ -35,6 +38,7 @@
     stop_admission_options stop_admission;
     outbound_fraction_limiter_options region_shift_limits;
     retry_limits retry_budget;
+    key_trust_options key_trust;
     std::size_t max_requests_under_way = 4'096;
     /// Round-trip time to another region, until one has been measured by connecting.
     duration default_region_round_trip = std::chrono::milliseconds(30);
@@ -134,6 +138,13 @@
     /// While routes may be missing here, a request without a route is refused with 503 instead of
     /// 404, so that its caller retries.
     void set_routes_incomplete(bool incomplete) { routes_incomplete_ = incomplete; }
+    /// Sets what counts the requests of teams, which must outlive the engine. Without it quotas
+    /// aren't enforced.
+    void set_quota_gate(quota_gate& gate) { quota_gate_ = &gate; }
+    /// Records that the keys of the current document were the newest ones at `fresh_as_of`.
+    void confirm_keys(time_point fresh_as_of) { key_trust_.confirm(fresh_as_of); }
+    /// Acts on no key until keys are confirmed anew.
+    void forget_key_confirmation() { key_trust_.forget(); }
 
     /// Begins a planned stop of the process, which ends at `process_end`. From now on a request is
     /// taken and sent only if its deadline lies before that; waiting ones without that are refused.
@@ -147,6 +158,8 @@
 
     /// Takes a new request: sends, holds or refuses it.
     commands submit(request_arrival arrival, time_point now);
+    /// Takes the verdict on a request for which the quota gate answered `pending`.
+    commands handle_quota_answer(request_id id, quota_answer const& answer, time_point now);
     commands handle_send_end(request_id id, send_end_report const& report, time_point now);
     /// Takes the report of a probe that was sent to this incarnation of the upstream.
     commands handle_probe_report(upstream_name const& upstream, upstream_incarnation incarnation,
@@ -193,7 +206,11 @@
         request_arrival arrival;
         std::shared_ptr<routing_document const> document; ///< Owns `matched_route`.
         route const* matched_route = nullptr;
+        team_settings const* team = nullptr; ///< Null if the caller didn't identify itself.
         service_name service;
+        bool awaits_quota = false;      ///< The quota gate has been asked and hasn't answered.
+        bool holds_quota_token = false; ///< No upstream has run it since the token was taken.
+        duration quota_retry_after{};   ///< If refused as over quota: when to come back.
         time_point arrived;
         time_point deadline;   ///< The caller's or the route's, whichever is earlier.
         time_point hold_until; ///< When the request is refused if no slot is free by then.
@@ -241,6 +258,25 @@
         double free_fraction_in_region = 0; ///< Free fraction of this region's slots.
     };
 
+    // Callers and teams (forwarding_callers.cpp).
+    /// Sets the request's team. Returns why the request must be refused, if it must.
+    std::optional<refusal> identify_caller(pending_request& request, time_point now) const;
+    /// True if the request's key is still known well enough to act on.
+    bool may_act_on_key(pending_request const& request, time_point now) const;
+    /// Asks the quota gate. Returns false if the request has to wait for the verdict or was
+    /// refused.
+    bool take_quota_token(pending_request& request, time_point now, commands& out);
+    void refuse_over_quota(pending_request& request, quota_answer const& answer, time_point now,
+                           commands& out);
+    /// Returns the token, or withdraws the question, of a request that no upstream has run.
+    void return_quota_token(pending_request& request, time_point now);
+    std::optional<caller_identity> identity_of_caller(pending_request const& request) const;
+    /// Order in which waiting requests are sent, the lowest first.
+    static std::pair<unsigned, unsigned> urgency_of(pending_request const& request);
+
+    /// Sends, holds or refuses a request that may be sent.
+    void place_new_request(pending_request& request, time_point now, commands& out);
+
     // Placement (forwarding_placement.cpp).
     /// Sends the request if an upstream may take it now, and returns whether it was sent.
     bool try_place(pending_request& request, time_point now, commands& out);
@@ -265,8 +301,8 @@
     bool may_send_to(upstream_tracker& tracker, double cold_rate, time_point now) const;
     /// True if this is the one entry that sends requests to the upstream while it is cold.
     bool is_sender_to_cold_upstream(upstream_tracker const& tracker) const;
-    /// True if the route's home regions, if it has any, include the region.
-    bool may_run_in(route const& matched_route, region_name const& region) const;
+    /// True if the route and the caller's team both may be served in the region.
+    bool may_run_in(pending_request const& request, region_name const& region) const;
     /// Part of the placement cost, in milliseconds, that is lower for upstreams in this place and
     /// for those that the hash of the request's object selects.
     double affinity_cost_ms(pending_request const& request, upstream_tracker const& tracker) const;
@@ -329,6 +365,9 @@
     random_source& random_;
     admission admission_;
     stop_admission stop_admission_;
+    key_trust key_trust_;
+    quota_gate* quota_gate_ = nullptr;
+    team_directory teams_; ///< Of `document_`.
     std::unique_ptr<route_table> routes_;
     std::shared_ptr<routing_document const> document_;
     weighted_split service_splits_;
--- a/libraries/forwarding/forwarding_messages.hpp
+++ b/libraries/forwarding/forwarding_messages.hpp
@@ -4,6 +4,7 @@
 #include "libraries/core/address.hpp"
 #include "libraries/core/clock.hpp"
 #include "libraries/core/ids.hpp"
+#include "libraries/teams/caller_key.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -21,6 +22,7 @@
     std::string path;                  ///< Includes the query string.
     std::uint64_t object = 0;          ///< Hash of the object that the request is for, or 0.
     std::optional<duration> time_left; ///< How long the caller will wait, if it said so.
+    std::optional<key_digest> key;     ///< Digest of the key by which the caller identifies itself.
 };
 
 /// The load of an upstream, as reported in its answers to requests and health probes.
@@ -76,6 +78,12 @@
     std::optional<load_report> load;
 };
 
+/// Who sends a request, where callers identify themselves.
+struct caller_identity
+{
+    team_name team; ///< Empty on a public route.
+};
+
 /// Command: send the request to an upstream.
 struct send_request
 {
@@ -86,6 +94,8 @@
     duration time_left{};
     duration connect_timeout{};
     duration longest_idle{}; ///< Kept connections that were idle for longer aren't reused.
+    /// Nothing if the configuration has no teams: the caller's own headers are passed on.
+    std::optional<caller_identity> caller;
 };
 
 /// Command: cancel the request's current send. No end of this send is reported to the engine.
@@ -111,10 +121,13 @@
     deadline_passed,  ///< The deadline passed while the request waited for a slot.
     upstream_failed,  ///< A send failed and no further send is allowed.
     answer_timeout,   ///< The deadline passed while the request was at an upstream.
-    stopping          ///< This entry is shutting down.
+    stopping,         ///< This entry is shutting down.
+    unknown_key,      ///< No team holds the caller's key.
+    unconfirmed_key,  ///< What this entry knows of keys is too old to act on.
+    over_quota        ///< The caller's team has used its quota.
 };
 
-constexpr std::size_t refusal_count = static_cast<std::size_t>(refusal::stopping) + 1;
+constexpr std::size_t refusal_count = static_cast<std::size_t>(refusal::over_quota) + 1;
 /// The name of a refusal in logs, such as "no-room".
 char const* name_of(refusal reason);
 
--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -113,13 +113,6 @@
                                                 initial_service_time_fraction);
 }
 
-bool forwarding_engine::may_run_in(route const& matched_route, region_name const& region) const
-{
-    auto const& allowed_regions = matched_route.home_regions;
-    return allowed_regions.empty() || std::find(allowed_regions.begin(), allowed_regions.end(),
-                                                region) != allowed_regions.end();
-}
-
 bool forwarding_engine::is_sender_to_cold_upstream(upstream_tracker const& tracker) const
 {
     // The sender is the entry with the highest hash among those of the upstream's region, or among
@@ -236,7 +229,7 @@
         bool const in_region = each->proximity() != upstream_proximity::other_region;
         if (in_region)
             region_slots.add(*each, peer_counts_, now);
-        if (may_run_in(*request.matched_route, each->known().region))
+        if (may_run_in(request, each->known().region))
             (in_region ? regional : remote).consider(*each, affinity_cost_ms(request, *each));
     }
     return {.preferred_in_region = regional.tracker,
@@ -263,7 +256,7 @@
                                   each->handled_recently(request.arrival.object);
         if ((slots_are_scarce || is_elsewhere) && !has_affinity && has_object)
             continue;
-        if (!may_run_in(*request.matched_route, each->known().region))
+        if (!may_run_in(request, each->known().region))
             continue;
         std::optional<double> const cost = placement_cost(request, *each, now);
         if (!cost)
@@ -287,7 +280,7 @@
 
 bool forwarding_engine::try_place(pending_request& request, time_point now, commands& out)
 {
-    if (now < suspended_until_)
+    if (now < suspended_until_ || !may_act_on_key(request, now))
         return false;
     std::optional<placement_choice> const chosen = choose_upstream(request, now);
     if (!chosen)
@@ -333,7 +326,8 @@
         .time_left = request.deadline - now,
         .connect_timeout = expected_round_trip(tracker) * 2 + std::chrono::milliseconds(250),
         .longest_idle =
-            is_non_idempotent ? options_.non_idempotent_idle_limit : std::chrono::hours(1)});
+            is_non_idempotent ? options_.non_idempotent_idle_limit : std::chrono::hours(1),
+        .caller = identity_of_caller(request)});
 }
 
 void forwarding_engine::place_waiting(service_name const& service, time_point now, commands& out)
@@ -345,8 +339,8 @@
     std::sort(by_urgency.begin(), by_urgency.end(), [&](request_id left, request_id right) {
         pending_request const& a = requests_.at(left);
         pending_request const& b = requests_.at(right);
-        if (a.matched_route->urgency_rank != b.matched_route->urgency_rank)
-            return a.matched_route->urgency_rank < b.matched_route->urgency_rank;
+        if (urgency_of(a) != urgency_of(b))
+            return urgency_of(a) < urgency_of(b);
         return a.hold_until < b.hold_until;
     });
     for (request_id const id : by_urgency) {
--- a/libraries/forwarding/http_dialect.hpp
+++ b/libraries/forwarding/http_dialect.hpp
@@ -28,10 +28,11 @@
 
     /// Parses a caller's request. Leaves the request's `id` for the calling code to set.
     virtual request_arrival read_request(http1::message_head const& head) const = 0;
-    /// Headers with which the request is sent to the `expected` upstream.
+    /// Headers with which the request is sent to the `expected` upstream. If `caller` is given, the
+    /// caller's key is removed and only the team given there is stated.
     virtual http_headers upstream_headers(http1::message_head const& request,
-                                          upstream_name const& expected,
-                                          duration time_left) const = 0;
+                                          upstream_name const& expected, duration time_left,
+                                          std::optional<caller_identity> const& caller) const = 0;
     /// The header, with its value, that an upstream's answer to this request carries.
     virtual http_header answer_id(http1::message_head const& request) const = 0;
     /// Parses the head of an upstream's complete answer.
--- a/libraries/routing/routing_document.hpp
+++ b/libraries/routing/routing_document.hpp
@@ -3,6 +3,7 @@
 
 #include "libraries/core/clock.hpp"
 #include "libraries/core/ids.hpp"
+#include "libraries/teams/team_settings.hpp"
 
 #include <cstdint>
 #include <string>
@@ -41,6 +42,7 @@
     duration latency_objective{};
     unsigned urgency_rank = 0; ///< 0 is the most urgent; higher numbers are less urgent.
     bool affinity = false;
+    bool is_public = false; ///< Callers need no key.
     std::vector<weighted_service> services;
     duration timeout{};
     unsigned max_upstreams = 1; ///< Maximum number of upstreams that one request is sent to.
@@ -74,6 +76,9 @@
     std::vector<route> routes;
     std::vector<service_settings> services;
     caller_limits limits;
+    /// Whether callers identify themselves by keys, except on public routes.
+    bool identifies_callers = false;
+    std::vector<team_settings> teams;
 };
 
 } // namespace burdockstep
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -111,17 +111,17 @@
         return;
     http1::server_request const& request = found->second->request();
     http_header const answer_id = dialect_.answer_id(request.head);
-    http1::call_options call{
-        .to = command.to,
-        .method = request.head.method,
-        .target = request.head.target,
-        .headers = dialect_.upstream_headers(request.head, command.upstream, command.time_left),
-        .body = request.body,
-        .answer_id = answer_id,
-        .on_new_connection = answer_id.name.empty(),
-        .max_idle_time = command.longest_idle,
-        .connect_timeout = command.connect_timeout,
-        .on_any_head = notice_reader(command.upstream, command.incarnation)};
+    http1::call_options call{.to = command.to,
+                             .method = request.head.method,
+                             .target = request.head.target,
+                             .headers = dialect_.upstream_headers(
+                                 request.head, command.upstream, command.time_left, command.caller),
+                             .body = request.body,
+                             .answer_id = answer_id,
+                             .on_new_connection = answer_id.name.empty(),
+                             .max_idle_time = command.longest_idle,
+                             .connect_timeout = command.connect_timeout,
+                             .on_any_head = notice_reader(command.upstream, command.incarnation)};
     active_sends_[command.id] = upstream_client_.start(
         std::move(call),
         [this, id = command.id, upstream = command.upstream](http1::call_result result) {
--- a/tests/unit/platform_adapter_test.cpp
+++ b/tests/unit/platform_adapter_test.cpp
@@ -131,7 +131,8 @@
     auto const arrival = dialect.read_request(request_head());
     CHECK(arrival.time_left == ms(1'200));
     CHECK(arrival.object != 0);
-    auto const headers = dialect.upstream_headers(request_head(), upstream_name("i-9"), ms(750));
+    auto const headers =
+        dialect.upstream_headers(request_head(), upstream_name("i-9"), ms(750), {});
     STRCMP_EQUAL("750", std::string(headers.find("x-deadline-ms")).c_str());
     STRCMP_EQUAL("i-9", std::string(headers.find("x-expect-instance")).c_str());
     STRCMP_EQUAL("id7", std::string(headers.find("x-request-id")).c_str());
