teams: entries prove how new their keys are, and act on none without proof

Cause: nothing confirmed keys, so known ones were acted on for any time at an entry out of touch, and unknown ones got 503 for ever.

Change: directives_confirmation keeps the time F at which the applied directives were provably the newest: the beginning of the read of the store that showed it, or the sending of a question to another entry less the age that its answer states. An answer counts only for directives that this entry has applied, and of no earlier era. The registry readers poll the store each 400 ms while the configuration identifies callers, overlapping if it is late; the others ask one entry each 500 ms, a reader or, with many entries, a relay; without a proof for two seconds they read the changes themselves. Two wire messages are appended. A request is checked again right before its bytes are handed over; one that may not be sent ends as not_permitted, not run and blaming no upstream. Waiting requests are refused when the proof gets too old. Time is CLOCK_BOOTTIME now, so that a suspended machine's proofs age too. key_revocation_limit_ms (0: none) sets the limit; a document that can't be parsed confirms nothing.

--- a/libraries/configuration/gateway_settings.cpp
+++ b/libraries/configuration/gateway_settings.cpp
@@ -2,6 +2,8 @@
 
 #include "libraries/configuration/table_reader.hpp"
 
+#include <string>
+
 namespace burdockstep {
 
 namespace {
@@ -14,6 +16,8 @@
 constexpr std::int64_t default_retry_window_s = 10;
 constexpr double default_max_region_shift_share = 0.15;
 constexpr std::int64_t default_memory_mb = 256;
+/// Below this, entries that are in touch couldn't act on keys all the time.
+constexpr std::int64_t min_key_revocation_limit_ms = 3'000;
 constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
 
 void read_instance(table_reader& table, gateway_settings& settings)
@@ -30,6 +34,18 @@
     table.report_unknown_keys();
 }
 
+void read_key_revocation_limit(table_reader& table, gateway_settings& settings)
+{
+    std::string_view const key = "key_revocation_limit_ms";
+    std::int64_t const limit_ms = table.integer_or(key, {.lowest = 0, .highest = 3'600'000}, 0);
+    bool const is_too_short = limit_ms > 0 && limit_ms < min_key_revocation_limit_ms;
+    if (is_too_short)
+        table.report(key, std::to_string(limit_ms),
+                     "set 3000 or more, or 0 for no limit: proofs of how new keys are may be a "
+                     "second or two old");
+    settings.key_revocation_limit = std::chrono::milliseconds(limit_ms);
+}
+
 void read_limits(table_reader& table, gateway_settings& settings)
 {
     using std::chrono::milliseconds;
@@ -47,6 +63,7 @@
         "retry_window_s", {.lowest = 1, .highest = 3'600}, default_retry_window_s));
     settings.max_region_shift_share =
         table.number_or("most_shift", {.lowest = 0, .highest = 1}, default_max_region_shift_share);
+    read_key_revocation_limit(table, settings);
     settings.memory_bytes =
         bytes_per_mb * static_cast<std::size_t>(table.integer_or(
                            "memory_mb", {.lowest = 32, .highest = 1'048'576}, default_memory_mb));
--- a/libraries/configuration/gateway_settings.hpp
+++ b/libraries/configuration/gateway_settings.hpp
@@ -35,6 +35,8 @@
     duration retry_window{}; ///< Time over which the retry budget counts.
     /// Largest fraction of a region's requests that may move to other regions within two seconds.
     double max_region_shift_share = 0;
+    /// Longest time for which a withdrawn key may still be acted on; zero: no limit.
+    duration key_revocation_limit{};
     /// Memory that the process may use, in bytes. A quarter of it may hold incomplete answers.
     std::size_t memory_bytes = 0;
 
--- a/libraries/core/clock.hpp
+++ b/libraries/core/clock.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace burdockstep {
 
@@ -28,14 +29,19 @@
     virtual time_point now() const = 0;
 };
 
-/// The machine's monotonic clock. It also advances while the process is stopped.
+/// The time since the machine's boot. It also advances while the process is stopped and, unlike
+/// `std::chrono::steady_clock`, while the machine is suspended: what was known before would
+/// otherwise seem newer than it is.
 class system_clock_source final : public clock_source
 {
 public:
     time_point now() const override
     {
-        auto const since_boot = std::chrono::steady_clock::now().time_since_epoch();
-        return time_point(std::chrono::duration_cast<duration>(since_boot));
+        timespec since_boot{};
+        clock_gettime(CLOCK_BOOTTIME, &since_boot);
+        return time_point(
+            std::chrono::duration_cast<duration>(std::chrono::seconds(since_boot.tv_sec) +
+                                                 std::chrono::nanoseconds(since_boot.tv_nsec)));
     }
 };
 
--- a/libraries/discovery/discovery_store.hpp
+++ b/libraries/discovery/discovery_store.hpp
@@ -27,6 +27,7 @@
 struct operator_directives
 {
     std::shared_ptr<routing_document const> routing; ///< Null: absent or unreadable.
+    bool routing_is_unreadable = false;
     std::vector<place_name> evacuated;
     std::vector<place_name> evacuation_lifted; ///< Only in answers that list changes.
     /// Position at which the newest of these parts was written. The version of the store itself
--- a/libraries/discovery/registry_update.cpp
+++ b/libraries/discovery/registry_update.cpp
@@ -75,9 +75,9 @@
     return change;
 }
 
-} // namespace
-
-bool is_registry_reader(instance_name const& self, std::vector<member_view> const& members)
+/// The live members, the one with the highest hash first.
+std::vector<member_view const*> live_by_reader_hash(instance_name const& self,
+                                                    std::vector<member_view> const& members)
 {
     std::vector<member_view const*> live_members;
     for (member_view const& each : members) {
@@ -89,14 +89,35 @@
                   return hash_of(left->listed.instance.get(), reader_hash_seed) >
                          hash_of(right->listed.instance.get(), reader_hash_seed);
               });
-    if (live_members.size() <= 2 || live_members.front()->listed.instance == self)
-        return true;
+    return live_members;
+}
+
+} // namespace
+
+std::vector<instance_name> registry_readers(instance_name const& self,
+                                            std::vector<member_view> const& members)
+{
+    std::vector<member_view const*> const live_members = live_by_reader_hash(self, members);
+    std::vector<instance_name> readers;
+    if (live_members.size() <= 2) {
+        for (member_view const* const each : live_members)
+            readers.push_back(each->listed.instance);
+        return readers;
+    }
     auto const second =
         std::find_if(live_members.begin() + 1, live_members.end(), [&](member_view const* each) {
             return each->listed.place != live_members.front()->listed.place;
         });
     member_view const& second_reader = second == live_members.end() ? *live_members[1] : **second;
-    return second_reader.listed.instance == self;
+    return {live_members.front()->listed.instance, second_reader.listed.instance};
+}
+
+bool is_registry_reader(instance_name const& self, std::vector<member_view> const& members)
+{
+    if (live_by_reader_hash(self, members).size() <= 2)
+        return true;
+    std::vector<instance_name> const readers = registry_readers(self, members);
+    return std::find(readers.begin(), readers.end(), self) != readers.end();
 }
 
 std::vector<registration_change>
--- a/libraries/discovery/registry_update.hpp
+++ b/libraries/discovery/registry_update.hpp
@@ -20,6 +20,11 @@
 /// members; where the views differ, a third entry may read as well, which is harmless.
 bool is_registry_reader(instance_name const& self, std::vector<member_view> const& members);
 
+/// Returns the live entries for which `is_registry_reader` holds, in the view of this entry. At
+/// most two.
+std::vector<instance_name> registry_readers(instance_name const& self,
+                                            std::vector<member_view> const& members);
+
 /// Returns the changes that are significant to an entry with the same state as `registry`. When an
 /// upstream changed more than once, only its latest state is kept: an earlier state sent alone
 /// would revert the latest one at its receivers.
--- a/libraries/forwarding/forwarding_callers.cpp
+++ b/libraries/forwarding/forwarding_callers.cpp
@@ -24,6 +24,35 @@
     return request.team == nullptr || key_trust_.may_act_on_keys(now);
 }
 
+void forwarding_engine::refuse_unconfirmed_waiting(time_point now, commands& out)
+{
+    if (key_trust_.may_act_on_keys(now))
+        return;
+    for (auto& [service, ids] : waiting_requests_) {
+        auto const waiting = ids;
+        for (request_id const id : waiting) {
+            pending_request& request = requests_.at(id);
+            if (request.team == nullptr)
+                continue;
+            std::erase(ids, id);
+            end_with_refusal(request, refusal::unconfirmed_key, now, out);
+        }
+    }
+}
+
+void forwarding_engine::handle_unpermitted_send(pending_request& request, time_point now,
+                                                commands& out)
+{
+    if (request.discards_answer) {
+        finish(request, now);
+        return;
+    }
+    auto& dispatched = std::get<dispatched_request>(request.stage);
+    request.stage =
+        std::move(dispatched).return_to_waiting(not_run_evidence::from_send_not_begun());
+    end_with_refusal(request, refusal::unconfirmed_key, now, out);
+}
+
 bool forwarding_engine::take_quota_token(pending_request& request, time_point now, commands& out)
 {
     bool const is_limited = request.team != nullptr && request.team->quota.is_limited();
--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -80,6 +80,9 @@
     case send_result::broken:
         handle_lost_send(request, now, out);
         break;
+    case send_result::not_permitted:
+        handle_unpermitted_send(request, now, out);
+        break;
     }
     place_waiting(service, now, out);
     return out;
@@ -212,7 +215,8 @@
         return options_.stopping_retry_delay;
     if (reason == refusal::over_quota)
         return request.quota_retry_after;
-    if (request.matched_route == nullptr)
+    // Another entry, or this one after its next proof, takes it.
+    if (request.matched_route == nullptr || reason == refusal::unconfirmed_key)
         return default_retry_after;
     time_point const accepted_from = acceptance_time(request).value_or(now);
     return admission_.retry_after(std::max(accepted_from - now, duration::zero()),
@@ -233,7 +237,9 @@
     auto const found = trackers_.find(request.upstream);
     if (found == trackers_.end())
         return;
-    if (found->second.incarnation() == request.incarnation)
+    bool const tells_of_upstream = found->second.incarnation() == request.incarnation &&
+                                   report.result != send_result::not_permitted;
+    if (tells_of_upstream)
         found->second.record_send_end(report, now);
     else
         found->second.record_cancelled_send(); // How it ended says nothing about the present one.
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -71,6 +71,8 @@
         return "not-connected";
     case send_result::broken:
         return "broken";
+    case send_result::not_permitted:
+        return "not-permitted";
     }
     return "unknown";
 }
@@ -392,6 +394,7 @@
     }
     if (now >= next_maintenance_) {
         next_maintenance_ = now + maintenance_interval;
+        refuse_unconfirmed_waiting(now, out);
         peer_counts_.expire(now, slot_report_lifetime);
         for (auto& [service, pool] : pools_) {
             if (pool.spill.is_step_due(now))
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -145,6 +145,15 @@
     void confirm_keys(time_point fresh_as_of) { key_trust_.confirm(fresh_as_of); }
     /// Acts on no key until keys are confirmed anew.
     void forget_key_confirmation() { key_trust_.forget(); }
+    /// True if this entry acts on keys now.
+    bool acts_on_keys(time_point now) const { return key_trust_.may_act_on_keys(now); }
+    /// True if the request may still be sent. Ask right before its bytes are handed over: the
+    /// process may have paused since the command was given. If not, report `not_permitted`.
+    bool may_still_send(send_request const& command, time_point now) const
+    {
+        bool const has_key = command.caller && command.caller->team != team_name();
+        return !has_key || key_trust_.may_act_on_keys(now);
+    }
 
     /// Begins a planned stop of the process, which ends at `process_end`. From now on a request is
     /// taken and sent only if its deadline lies before that; waiting ones without that are refused.
@@ -263,6 +272,11 @@
     std::optional<refusal> identify_caller(pending_request& request, time_point now) const;
     /// True if the request's key is still known well enough to act on.
     bool may_act_on_key(pending_request const& request, time_point now) const;
+    /// Refuses the waiting requests whose keys this entry no longer acts on, so that their callers
+    /// go to another entry at once.
+    void refuse_unconfirmed_waiting(time_point now, commands& out);
+    /// Refuses a request whose send wasn't begun.
+    void handle_unpermitted_send(pending_request& request, time_point now, commands& out);
     /// Asks the quota gate. Returns false if the request has to wait for the verdict or was
     /// refused.
     bool take_quota_token(pending_request& request, time_point now, commands& out);
--- a/libraries/forwarding/forwarding_messages.hpp
+++ b/libraries/forwarding/forwarding_messages.hpp
@@ -52,10 +52,11 @@
     shed,           ///< The upstream rejected the request without running it.
     other_instance, ///< Another instance uses the address now and rejected the request.
     not_connected,  ///< The connection failed, so no byte of the request was sent.
-    broken          ///< The send failed after it may have reached the upstream: it may have run.
+    broken,         ///< The send failed after it may have reached the upstream: it may have run.
+    not_permitted   ///< It wasn't begun: the caller's key was no longer known well enough.
 };
 
-constexpr std::size_t send_result_count = static_cast<std::size_t>(send_result::broken) + 1;
+constexpr std::size_t send_result_count = static_cast<std::size_t>(send_result::not_permitted) + 1;
 /// The name of a result in logs, such as "not-connected".
 char const* name_of(send_result result);
 
--- a/libraries/forwarding/upstream_tracker.cpp
+++ b/libraries/forwarding/upstream_tracker.cpp
@@ -79,6 +79,7 @@
         backoff_end_ = now + options_.shed_backoff;
         break;
     case send_result::other_instance:
+    case send_result::not_permitted:
         break;
     case send_result::not_connected:
         eject(now);
--- a/libraries/requests/request_stage.hpp
+++ b/libraries/requests/request_stage.hpp
@@ -37,7 +37,8 @@
 };
 
 /// Evidence that the receiver did not run a dispatched request. Create one only when the receiver
-/// itself reports this, or when no connection existed on which a byte could have been sent.
+/// itself reports this, or when no byte can have been sent: no connection existed, or the send
+/// wasn't begun.
 class not_run_evidence
 {
 public:
@@ -48,6 +49,11 @@
     {
         return not_run_evidence(refusal_reason::not_connected);
     }
+    /// The send was given up before a byte was handed to a connection.
+    static not_run_evidence from_send_not_begun()
+    {
+        return not_run_evidence(refusal_reason::not_connected);
+    }
 
     refusal_reason reason() const { return reason_; }
 
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -344,8 +344,41 @@
     friend bool operator==(entries_update_message const&, entries_update_message const&) = default;
 };
 
+/// Asks an entry for its proof of how new the directives are that it applies.
+struct directives_question
+{
+    std::uint64_t number = 0; ///< Returned in the answer.
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number);
+    }
+
+    friend bool operator==(directives_question const&, directives_question const&) = default;
+};
+
+/// Answers `directives_question`: the directives at `position` were the newest ones `age_ms` ago.
+struct directives_proof
+{
+    std::uint64_t number = 0; ///< Of the question.
+    /// Position of the store at which the directives that the sender applies last changed.
+    store_position position;
+    bool is_proven = false;   ///< If false, the sender has no proof and `age_ms` means nothing.
+    std::uint32_t age_ms = 0; ///< By the sender's clock, rounded up.
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, position, checked_bool(is_proven), age_ms);
+    }
+
+    friend bool operator==(directives_proof const&, directives_proof const&) = default;
+};
+
 /// Any message. The index of an alternative is the type byte of the encoding.
 using message = std::variant<heartbeat, pool_report, state_request, state_answer, slot_report,
-                             registry_update_message, entries_update_message, member_records>;
+                             registry_update_message, entries_update_message, member_records,
+                             directives_question, directives_proof>;
 
 } // namespace burdockstep::wire
--- a/services/burdockstep_gateway/discovery/directives_reader.hpp
+++ b/services/burdockstep_gateway/discovery/directives_reader.hpp
@@ -15,18 +15,32 @@
 /// Keeps the routing document and the set of evacuated places up to date. While long polling is
 /// enabled it waits at the store for changes; otherwise it reads the directives when a peer
 /// announces a newer position.
+///
+/// Each answer shows that the applied directives were the newest ones when its call began. Where
+/// that must be known at any time, calls wait only shortly, and the next one begins even if the
+/// store hasn't answered the last.
 class directives_reader
 {
 public:
-    using evacuation_handler = std::function<void(std::set<place_name> const&)>;
+    /// Callbacks of the reader to its owner.
+    struct reader_callbacks
+    {
+        std::function<void(std::set<place_name> const&)> on_evacuations_changed;
+        /// The applied directives were the newest ones at this time.
+        std::function<void(time_point)> on_confirmed;
+    };
 
     directives_reader(gateway_context& context, discovery_store& store_client,
-                      store_monitor& monitor, evacuation_handler on_evacuations_changed);
+                      store_monitor& monitor, reader_callbacks callbacks);
 
     /// Reads all directives. The answer to a call that is under way is ignored.
     void read_all();
     /// Enables or disables long polling: calls on which the store waits for a change.
     void set_long_polling(bool enabled);
+    /// Sets whether the directives must be confirmed at short intervals while long polling.
+    void set_confirms_often(bool often) { confirms_often_ = often; }
+    /// Reads the changes without waiting for one, unless a read is under way.
+    void read_changes_now();
     /// Handles a peer's announcement that directives changed at this position of the store.
     void note_peer_position(store_position change);
     /// Handles the store's return from an older copy: all directives are read again.
@@ -38,10 +52,23 @@
     store_position last_change() const { return last_change_; }
 
 private:
+    /// A call under way.
+    struct store_call
+    {
+        std::uint64_t number = 0;
+        time_point started;
+        bool is_full_read = false;
+    };
+
     void long_poll();
-    void retry(bool is_full_read);
+    void read_changes(duration max_wait);
+    /// Begins the next call if the store doesn't answer the last one in time.
+    void schedule_overlapping_poll();
+    void retry(store_call const& call);
     void handle_answer(discovery_store_answer<operator_directives> const& answer,
-                       bool is_full_read);
+                       store_call const& call);
+    void apply_answer(discovery_store_answer<operator_directives> const& answer,
+                      store_call const& call);
     void update_evacuations(discovery_store_answer<operator_directives> const& answer,
                             bool is_full_read);
     void apply_document(std::shared_ptr<routing_document const> document);
@@ -53,19 +80,25 @@
     gateway_context& context_;
     discovery_store& store_client_;
     store_monitor& store_monitor_;
-    evacuation_handler on_evacuations_changed_;
+    reader_callbacks callbacks_;
     logger log_{"directives"};
     timer retry_timer_;
+    timer overlap_timer_;
     std::shared_ptr<routing_document const> routing_document_;
     evacuations evacuations_;
     std::set<place_name> published_evacuations_;
     timer evacuation_timer_;
     store_position position_; ///< Position of the store up to which changes are known.
     store_position last_change_;
-    store_position peer_change_; ///< Newest position that a peer has announced.
-    /// Number of the latest call: answers to earlier calls are ignored.
-    std::uint64_t current_call_ = 0;
-    bool call_pending_ = false;
+    store_position peer_change_;  ///< Newest position that a peer has announced.
+    std::uint64_t last_call_ = 0; ///< Number of the latest call.
+    /// Answers to earlier calls are ignored: a later one has been applied, or all is read anew.
+    std::uint64_t oldest_valid_call_ = 0;
+    unsigned reads_of_changes_under_way_ = 0;
+    bool call_pending_ = false; ///< The latest call is under way or scheduled.
+    bool confirms_often_ = false;
+    /// The newest document couldn't be read, so that nothing is known of what it says.
+    bool document_is_unreadable_ = false;
     bool full_read_pending_ = false; ///< A read of all directives is under way or scheduled.
     bool is_long_polling_ = false;
 };
--- a/services/burdockstep_gateway/discovery/discovery_task.cpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.cpp
@@ -18,8 +18,13 @@
 discovery_task::discovery_task(gateway_context& context, discovery_store& store_client)
     : context_(context),
       store_monitor_(context, [this] { registrations_reader_.note_store_returned(); }),
-      directives_reader_(context, store_client, store_monitor_,
-                         [this](std::set<place_name> const& each) { update_evacuations(each); }),
+      directives_reader_(
+          context, store_client, store_monitor_,
+          {.on_evacuations_changed =
+               [this](std::set<place_name> const& each) { update_evacuations(each); },
+           .on_confirmed =
+               [this](time_point started) { directives_confirmer_.handle_store_answer(started); }}),
+      directives_confirmer_(context, directives_reader_, store_monitor_),
       registrations_reader_(context, store_client, store_monitor_,
                             {.on_update_timeout = [this] { set_receives_updates(false); },
                              .on_changes_read =
@@ -112,6 +117,7 @@
 void discovery_task::update_long_polling()
 {
     bool const should_long_poll = is_registry_reader_ || !receives_updates_;
+    directives_confirmer_.set_reads_store(should_long_poll);
     directives_reader_.set_long_polling(should_long_poll);
     entries_reader_.set_long_polling(should_long_poll);
 }
@@ -124,11 +130,13 @@
         directives_reader_.note_peer_position(peer_directives->position);
     }
     else if (auto const* const replaced = std::get_if<store_history_replaced>(&new_event)) {
+        directives_confirmer_.note_era(replaced->era);
         directives_reader_.note_history_replaced(replaced->era);
         registrations_reader_.note_history_replaced(replaced->era);
         entries_reader_.note_history_replaced(replaced->era);
     }
     else if (std::holds_alternative<directives_applied>(new_event)) {
+        directives_confirmer_.handle_applied();
         broadcast_directives_version();
     }
     else if (auto const* const members = std::get_if<members_changed>(&new_event)) {
@@ -138,6 +146,7 @@
         is_chosen_reader_ = is_registry_reader(context_.settings.instance, members->members);
         if (startup_is_over_)
             set_is_registry_reader(is_chosen_reader_);
+        directives_confirmer_.set_members(members->members);
     }
     else if (auto const* const update = std::get_if<registry_update_received>(&new_event)) {
         handle_update(update->update);
@@ -169,6 +178,9 @@
         registrations_reader_.read_now();
         directives_reader_.read_all();
     }
+    else {
+        directives_confirmer_.receive(new_event);
+    }
 }
 
 void discovery_task::write_metrics(std::string& out) const
@@ -195,6 +207,7 @@
     write_metric("store_reachable", store_monitor_.is_reachable() ? 1 : 0);
     write_metric("store_era", store_monitor_.era().get());
     write_metric("store_replacements_total", store_monitor_.replacements());
+    directives_confirmer_.write_metrics(out);
     write_metric("configuration_version",
                  directives_reader_.document() ? directives_reader_.document()->version.get() : 0);
 }
--- a/services/burdockstep_gateway/discovery/discovery_task.hpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.hpp
@@ -1,6 +1,7 @@
 /// Keeps directives, registrations and entries in step with the platform's store.
 #pragma once
 
+#include "services/burdockstep_gateway/discovery/directives_confirmer.hpp"
 #include "services/burdockstep_gateway/discovery/directives_reader.hpp"
 #include "services/burdockstep_gateway/discovery/entries_reader.hpp"
 #include "services/burdockstep_gateway/discovery/registrations_reader.hpp"
@@ -39,6 +40,7 @@
     logger log_{"discovery"};
     store_monitor store_monitor_;
     directives_reader directives_reader_;
+    directives_confirmer directives_confirmer_;
     registrations_reader registrations_reader_;
     entries_reader entries_reader_;
     registry_update_assembler update_assembler_;
--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -117,6 +117,36 @@
     wire::entries_update_message update;
 };
 
+/// The applied directives, and with them the keys of callers, were the newest ones at this time.
+struct directives_confirmed
+{
+    time_point fresh_as_of;
+};
+
+/// A request was refused because what this entry knows of keys is too old.
+struct key_confirmation_wanted
+{};
+
+/// A question for, or the proof of, how new directives are, ready to be sent to one entry.
+struct confirmation_message_ready
+{
+    address to;
+    wire::message message;
+};
+
+/// Another entry asks how new the directives are that this entry applies.
+struct directives_question_received
+{
+    address from;
+    wire::directives_question question;
+};
+
+/// Another entry has answered this entry's question.
+struct directives_proof_received
+{
+    wire::directives_proof proof;
+};
+
 /// The store has become reachable or unreachable.
 struct store_reachability_changed
 {
@@ -145,14 +175,14 @@
 struct process_ending
 {};
 
-using event =
-    std::variant<routing_document_applied, upstreams_changed, registry_refreshed,
-                 entry_records_received, members_changed, directives_applied,
-                 peer_directives_position_received, store_history_replaced, upstream_leaving,
-                 upstream_cold_start_reported, slot_report_ready, slot_report_received,
-                 registry_update_ready, registry_update_received, entries_update_ready,
-                 entries_update_received, store_reachability_changed, process_resumed, stop_begun,
-                 caller_grace_period_ended, process_ending>;
+using event = std::variant<
+    routing_document_applied, upstreams_changed, registry_refreshed, entry_records_received,
+    members_changed, directives_applied, peer_directives_position_received, store_history_replaced,
+    upstream_leaving, upstream_cold_start_reported, slot_report_ready, slot_report_received,
+    registry_update_ready, registry_update_received, entries_update_ready, entries_update_received,
+    store_reachability_changed, process_resumed, stop_begun, caller_grace_period_ended,
+    process_ending, directives_confirmed, key_confirmation_wanted, confirmation_message_ready,
+    directives_question_received, directives_proof_received>;
 
 /// Queues an event for delivery to all tasks.
 using event_sink = std::function<void(event)>;
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -63,6 +63,10 @@
                 context_.post(registry_update_received{.update = *update});
             else if (auto const* const listed = std::get_if<wire::entries_update_message>(&message))
                 context_.post(entries_update_received{.update = *listed});
+            else if (auto const* const question = std::get_if<wire::directives_question>(&message))
+                context_.post(directives_question_received{.from = from, .question = *question});
+            else if (auto const* const proof = std::get_if<wire::directives_proof>(&message))
+                context_.post(directives_proof_received{.proof = *proof});
             return {};
         },
         [&](failure const& error) {
@@ -230,6 +234,9 @@
     else if (auto const* const listed = std::get_if<entries_update_ready>(&new_event)) {
         send_to_all(listed->update);
     }
+    else if (auto const* const confirmation = std::get_if<confirmation_message_ready>(&new_event)) {
+        send(confirmation->message, {confirmation->to});
+    }
     else if (std::holds_alternative<stop_begun>(new_event)) {
         own_state_ = wire::member_state::stopping;
         send_heartbeats();
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -21,6 +21,14 @@
 constexpr std::size_t max_logged_cut_requests = 20;
 constexpr int status_unavailable = 503;
 constexpr std::size_t max_request_body_bytes = std::size_t{64} * 1024 * 1024;
+/// This part of the limit is left for the way of a request to its upstream, repeats included, and
+/// so that callers have time to turn to an entry that is in touch.
+constexpr duration key_use_margin = std::chrono::milliseconds(1'200);
+/// How long ago the known keys must have been complete for another key to be denied. A key must be
+/// known everywhere seconds after it was added, so a denial within this is no error.
+constexpr duration key_denial_limit = std::chrono::milliseconds(2'000);
+/// Refused requests ask for an early confirmation of keys at most this often.
+constexpr duration confirmation_request_interval = std::chrono::milliseconds(100);
 
 forwarding_options make_forwarding_options(gateway_settings const& settings)
 {
@@ -34,6 +42,10 @@
     // The limit applies to any two seconds, but the entries' windows begin at different times: a
     // third of it is kept as a margin.
     options.region_shift_limits.max_change_per_window = settings.max_region_shift_share * 2 / 3;
+    options.key_trust.denial_limit = key_denial_limit;
+    bool const limits_withdrawn_keys = settings.key_revocation_limit > duration::zero();
+    if (limits_withdrawn_keys)
+        options.key_trust.revocation_limit = settings.key_revocation_limit - key_use_margin;
     return options;
 }
 
@@ -67,6 +79,7 @@
     BOOST_LEAF_ASSIGN(context_.settings.callers, listen());
     maintenance_timer_.start_periodic(requests_maintenance_interval, [this] {
         execute(engine_.tick(context_.clock.now()));
+        log_key_use();
         slot_report_ages_.add(engine_.mean_report_age(context_.clock.now()));
         if (++maintenance_runs_ % maintenance_runs_per_full_report == 0) {
             report_all_counts(true);
@@ -109,6 +122,14 @@
     auto const found = exchanges_.find(command.id);
     if (found == exchanges_.end())
         return;
+    if (!engine_.may_still_send(command, context_.clock.now())) {
+        // Posted, because the engine's commands are still being carried out.
+        context_.loop.post([this, id = command.id] {
+            execute(engine_.handle_send_end(id, {.result = send_result::not_permitted, .load = {}},
+                                            context_.clock.now()));
+        });
+        return;
+    }
     http1::server_request const& request = found->second->request();
     http_header const answer_id = dialect_.answer_id(request.head);
     http1::call_options call{.to = command.to,
@@ -205,6 +226,33 @@
         dialect_.gateway_answer(exchange->request().head, command.status, command.retry_after));
     hold_times_.add(engine_.last_finished().hold_time);
     log_request_end(command.id, name_of(command.reason), command.status);
+    if (command.reason == refusal::unconfirmed_key)
+        want_key_confirmation();
+}
+
+void requests_task::want_key_confirmation()
+{
+    time_point const now = context_.clock.now();
+    if (confirmation_wanted_at_ && now - *confirmation_wanted_at_ < confirmation_request_interval)
+        return;
+    confirmation_wanted_at_ = now;
+    context_.post(key_confirmation_wanted{});
+}
+
+void requests_task::log_key_use()
+{
+    time_point const now = context_.clock.now();
+    bool const acts_on_keys = !identifies_callers_ || engine_.acts_on_keys(now);
+    if (acts_on_keys == std::exchange(acts_on_keys_, acts_on_keys))
+        return;
+    if (acts_on_keys) {
+        log_.info("requests with keys are taken again");
+        return;
+    }
+    log_.warning(
+        "requests with keys are refused: how new the known keys are isn't proven",
+        {field("has_proof", keys_confirmed_at_.has_value()),
+         field("proof_age_us", keys_confirmed_at_ ? (now - *keys_confirmed_at_).count() : 0)});
 }
 
 void requests_task::log_unanswered(request_id id, time_point arrived_at, http1::connection_end end)
@@ -377,6 +425,7 @@
          .max_body_bytes = std::min(limits.body_bytes, max_request_body_bytes),
          .request_stall_timeout = limits.head_timeout,
          .idle_timeout = limits.idle_timeout});
+    identifies_callers_ = applied_document.document->identifies_callers;
     execute(engine_.update_document(applied_document.document, context_.clock.now()));
 }
 
@@ -409,6 +458,10 @@
     else if (auto const* const report = std::get_if<slot_report_received>(&new_event)) {
         execute(engine_.handle_slot_report(report->report, now));
     }
+    else if (auto const* const confirmed = std::get_if<directives_confirmed>(&new_event)) {
+        keys_confirmed_at_ = confirmed->fresh_as_of;
+        engine_.confirm_keys(confirmed->fresh_as_of);
+    }
     else if (auto const* const reachability = std::get_if<store_reachability_changed>(&new_event)) {
         engine_.set_routes_incomplete(!reachability->reachable);
     }
--- a/services/burdockstep_gateway/requests/requests_task.hpp
+++ b/services/burdockstep_gateway/requests/requests_task.hpp
@@ -63,6 +63,10 @@
     void log_cut_requests();
     void log_request_end(request_id id, std::string_view outcome, int status);
     void apply_routing_document(routing_document_applied const& applied_document);
+    /// Has keys confirmed early if a request was just refused for want of that.
+    void want_key_confirmation();
+    /// Logs when this entry begins or ceases to refuse requests with keys.
+    void log_key_use();
 
     gateway_context& context_;
     http_dialect const& dialect_;
@@ -93,6 +97,10 @@
     /// Mean age of the slot reports, sampled at each run of the maintenance timer.
     latency_histogram slot_report_ages_;
     reported_keys upstreams_with_unusable_pause_;
+    bool identifies_callers_ = false;
+    bool acts_on_keys_ = true; ///< As last logged.
+    std::optional<time_point> keys_confirmed_at_;
+    std::optional<time_point> confirmation_wanted_at_;
 };
 
 } // namespace burdockstep::gateway
--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -40,6 +40,8 @@
     """The site stand-in and three gateways in two places of one region. Prints the end of each log
     if a check fails."""
 
+    further_limits = []  # Lines of the settings' table of limits, for deployments derived from this.
+
     def __init__(self, binaries):
         self.binaries = pathlib.Path(binaries)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="burdockstep-gateway-"))
@@ -91,7 +93,7 @@
         for key in ("callers", "readiness", "lookups", "metrics", "peers"):
             lines.append(f'{key} = "127.0.0.1:{gateway[key]}"')
         lines += ["[limits]", "stop_limit_ms = 4000", "retry_slack = 100", "drain_limit_ms = 1000",
-                  "[places]", 'p1 = "r"', 'p2 = "r"', ""]
+                  *self.further_limits, "[places]", 'p1 = "r"', 'p2 = "r"', ""]
         gateway["settings"] = self.folder / f"{gateway['name']}.toml"
         gateway["settings"].write_text("\n".join(lines))
         gateway["process"] = self.start([self.binaries / "burdockstep-gateway", "--settings",
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -54,7 +54,14 @@
     wire::message const messages[] = {
         sample_heartbeat(),
         wire::pool_report{.service = wire::name_text("levels"), .slots = 12, .in_flight = 3},
-        wire::state_request{.known_version = 4}, state, records};
+        wire::state_request{.known_version = 4},
+        state,
+        records,
+        wire::directives_question{.number = 7},
+        wire::directives_proof{.number = 7,
+                               .position = {.era = store_era(2), .version = store_version(40)},
+                               .is_proven = true,
+                               .age_ms = 900}};
     for (wire::message const& each : messages)
         CHECK(round_trip(each) == each);
 }
