lookup: callers are spread by what an entry can carry

Cause: entries of one place have 0.1 to 0.5 of a core and 10 to 200 Mbit/s, and look-ups named them all alike; callers choose evenly among the addresses of an answer, so the weakest got as many as the strongest.

Change: the settings tell the core's share and the link, the entry's record in the store carries them (an absent or impossible figure: unknown), and choose_by_weight names each entry as often as its share demands: the strongest in all answers, the others drawn by systematic sampling, three addresses at least. Readers of the list pass changed capacities on in a message of its own, entry_capacities_message; existing ones are unchanged. With equal or unknown capacities answers are as before.

--- a/libraries/configuration/gateway_settings.cpp
+++ b/libraries/configuration/gateway_settings.cpp
@@ -2,6 +2,8 @@
 
 #include "libraries/configuration/table_reader.hpp"
 
+#include <cmath>
+
 namespace burdockstep {
 
 namespace {
@@ -30,6 +32,17 @@
     table.report_unknown_keys();
 }
 
+/// 0 stands for a figure that isn't known, as does an absent one.
+entry_capacity read_capacity(table_reader& table)
+{
+    double const cores =
+        table.number_or("core_share", {.lowest = 0, .highest = max_core_thousandths / 1e3}, 0);
+    double const link_mbps =
+        table.number_or("link_mbps", {.lowest = 0, .highest = max_link_kbps / 1e3}, 0);
+    return {.core_thousandths = static_cast<std::uint32_t>(std::ceil(cores * 1e3)),
+            .link_kbps = static_cast<std::uint32_t>(std::ceil(link_mbps * 1e3))};
+}
+
 void read_limits(table_reader& table, gateway_settings& settings)
 {
     using std::chrono::milliseconds;
@@ -50,6 +63,7 @@
     settings.memory_bytes =
         bytes_per_mb * static_cast<std::size_t>(table.integer_or(
                            "memory_mb", {.lowest = 32, .highest = 1'048'576}, default_memory_mb));
+    settings.capacity = read_capacity(table);
     table.report_unknown_keys();
 }
 
--- a/libraries/configuration/gateway_settings.hpp
+++ b/libraries/configuration/gateway_settings.hpp
@@ -4,6 +4,7 @@
 #include "libraries/configuration/finding.hpp"
 #include "libraries/core/address.hpp"
 #include "libraries/core/clock.hpp"
+#include "libraries/core/entry_capacity.hpp"
 #include "libraries/core/ids.hpp"
 
 #include <map>
@@ -37,6 +38,8 @@
     double max_region_shift_share = 0;
     /// Memory that the process may use, in bytes. A quarter of it may hold incomplete answers.
     std::size_t memory_bytes = 0;
+    /// What the machine's processor and link can carry, told to the other entries.
+    entry_capacity capacity;
 
     friend bool operator==(gateway_settings const&, gateway_settings const&) = default;
 };
--- a/libraries/lookup/entry_choice.hpp
+++ b/libraries/lookup/entry_choice.hpp
@@ -26,9 +26,10 @@
 constexpr std::size_t max_chosen_entries = 64;
 
 /// Returns the serving entries of the caller's place, or else of its region, or else all of them,
-/// in random order. Returns none while the deployment has just started and the region's own entries
-/// are about to serve: callers sent to another region would return only when their answer expires,
-/// and so move their traffic between regions twice.
+/// in random order. Of entries with uneven capacities, the weaker ones are left out of some
+/// answers; see choose_by_weight. Returns none while the deployment has just started and the
+/// region's own entries are about to serve: callers sent to another region would return only when
+/// their answer expires, and so move their traffic between regions twice.
 std::vector<address> choose_entries(entry_choice_input const& input, random_source& random);
 
 } // namespace burdockstep
--- a/libraries/membership/entry_list.hpp
+++ b/libraries/membership/entry_list.hpp
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "libraries/membership/member_directory.hpp"
+#include "libraries/wire/messages.hpp"
 
+#include <optional>
 #include <vector>
 
 namespace burdockstep {
@@ -16,9 +18,20 @@
 };
 
 /// Returns the list after records were received. A restored list may lack records and have former
-/// ones: entries that run keep the record that is known, until they write it again.
+/// ones: entries that run keep the record that is known, until they write it again. Changes that
+/// peers pass on name no capacity: the known one is kept.
 std::vector<listed_member> merge_entry_records(std::vector<member_view> const& known,
                                                std::vector<listed_member> const& received,
                                                entry_list_kind kind);
 
+/// Returns the capacities of these entries; nothing if none is known.
+std::optional<wire::entry_capacities_message>
+make_entry_capacities(std::vector<listed_member> const& entries);
+
+/// Returns the list with the capacities that a peer has read. Entries that aren't listed, and
+/// `self`, which knows its own, are passed over.
+std::vector<listed_member> with_capacities(std::vector<listed_member> listed,
+                                           wire::entry_capacities_message const& told,
+                                           instance_name const& self);
+
 } // namespace burdockstep
--- a/libraries/membership/member_directory.hpp
+++ b/libraries/membership/member_directory.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "libraries/core/clock.hpp"
+#include "libraries/core/entry_capacity.hpp"
 #include "libraries/core/ids.hpp"
 #include "libraries/core/random.hpp"
 #include "libraries/membership/member_digest.hpp"
@@ -42,6 +43,7 @@
     address operators;
     address peers;
     bool leaving = false;
+    entry_capacity capacity; ///< Unknown where the entry, or the peer that named it, tells none.
 
     friend bool operator==(listed_member const&, listed_member const&) = default;
 };
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -344,8 +344,40 @@
     friend bool operator==(entries_update_message const&, entries_update_message const&) = default;
 };
 
+/// What the machine of one entry can carry. 0 means that a figure isn't known.
+struct entry_capacity_record
+{
+    name_text instance;
+    std::uint32_t core_thousandths = 0;
+    std::uint32_t link_kbps = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(instance, core_thousandths, link_kbps);
+    }
+
+    friend bool operator==(entry_capacity_record const&, entry_capacity_record const&) = default;
+};
+
+/// Capacities of the entries in an entries_update_message, sent after it by the same entry.
+struct entry_capacities_message
+{
+    bounded_list<entry_capacity_record, 12> entries;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(entries);
+    }
+
+    friend bool operator==(entry_capacities_message const&,
+                           entry_capacities_message const&) = default;
+};
+
 /// Any message. The index of an alternative is the type byte of the encoding.
 using message = std::variant<heartbeat, pool_report, state_request, state_answer, slot_report,
-                             registry_update_message, entries_update_message, member_records>;
+                             registry_update_message, entries_update_message, member_records,
+                             entry_capacities_message>;
 
 } // namespace burdockstep::wire
--- a/services/burdockstep_gateway/discovery/entries_reader.cpp
+++ b/services/burdockstep_gateway/discovery/entries_reader.cpp
@@ -44,6 +44,7 @@
     self.region = settings.region;
     self.callers = settings.callers;
     self.peers = settings.peers;
+    self.capacity = settings.capacity;
     return self;
 }
 
@@ -171,9 +172,8 @@
         last_change_ = std::max(last_change_, answer.content.last_change);
         context_.post(entry_records_received{.entries = answer.content.entries});
         if (announces_changes_) {
-            context_.post(
-                entries_update_ready{.update = make_entries_update(previous_change, last_change_,
-                                                                   answer.content.entries)});
+            announce(make_entries_update(previous_change, last_change_, answer.content.entries),
+                     answer.content.entries);
         }
     }
     if (!has_changes)
@@ -181,6 +181,16 @@
     finish_call();
 }
 
+void entries_reader::announce(wire::entries_update_message const& update,
+                              std::vector<listed_member> const& changed)
+{
+    context_.post(entries_update_ready{.update = update});
+    // The receivers of an incomplete update read the list themselves, with the capacities.
+    auto const capacities = make_entry_capacities(changed);
+    if (update.complete && capacities)
+        context_.post(entry_capacities_ready{.capacities = *capacities});
+}
+
 void entries_reader::finish_call()
 {
     call_pending_ = false;
--- a/services/burdockstep_gateway/discovery/entries_reader.hpp
+++ b/services/burdockstep_gateway/discovery/entries_reader.hpp
@@ -47,6 +47,9 @@
     void long_poll(duration max_wait);
     void handle_full_list(entries_answer const& answer);
     void handle_changes(entries_answer const& answer);
+    /// Sends changes that were read from the store, and the capacities in them, to all entries.
+    void announce(wire::entries_update_message const& update,
+                  std::vector<listed_member> const& changed);
     void retry(bool is_full_list);
     void finish_call();
 
--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -111,6 +111,12 @@
     wire::entries_update_message update;
 };
 
+/// Capacities of entries whose records have changed, ready to be sent to all entries.
+struct entry_capacities_ready
+{
+    wire::entry_capacities_message capacities;
+};
+
 /// Changes of the list of entries that another entry has read and sent.
 struct entries_update_received
 {
@@ -151,8 +157,8 @@
                  peer_directives_position_received, store_history_replaced, upstream_leaving,
                  upstream_cold_start_reported, slot_report_ready, slot_report_received,
                  registry_update_ready, registry_update_received, entries_update_ready,
-                 entries_update_received, store_reachability_changed, process_resumed, stop_begun,
-                 caller_grace_period_ended, process_ending>;
+                 entry_capacities_ready, entries_update_received, store_reachability_changed,
+                 process_resumed, stop_begun, caller_grace_period_ended, process_ending>;
 
 /// Queues an event for delivery to all tasks.
 using event_sink = std::function<void(event)>;
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -63,6 +63,8 @@
                 context_.post(registry_update_received{.update = *update});
             else if (auto const* const listed = std::get_if<wire::entries_update_message>(&message))
                 context_.post(entries_update_received{.update = *listed});
+            else if (auto const* const told = std::get_if<wire::entry_capacities_message>(&message))
+                process_capacities(*told);
             return {};
         },
         [&](failure const& error) {
@@ -97,6 +99,13 @@
     publish_members();
 }
 
+void peers_task::process_capacities(wire::entry_capacities_message const& told)
+{
+    directory_.apply_list(with_capacities(directory_.list(), told, context_.settings.instance),
+                          context_.clock.now());
+    publish_members();
+}
+
 void peers_task::send_heartbeats()
 {
     time_point const now = context_.clock.now();
@@ -230,6 +239,9 @@
     else if (auto const* const listed = std::get_if<entries_update_ready>(&new_event)) {
         send_to_all(listed->update);
     }
+    else if (auto const* const told = std::get_if<entry_capacities_ready>(&new_event)) {
+        send_to_all(told->capacities);
+    }
     else if (std::holds_alternative<stop_begun>(new_event)) {
         own_state_ = wire::member_state::stopping;
         send_heartbeats();
@@ -239,9 +251,14 @@
 void peers_task::write_metrics(std::string& out) const
 {
     std::size_t serving_entries = 0;
-    for (member_view const& each : directory_.members())
+    std::size_t entries_of_known_capacity = 0;
+    for (member_view const& each : directory_.members()) {
         serving_entries += each.is_serving() ? 1 : 0;
+        entries_of_known_capacity += each.listed.capacity.is_known() ? 1 : 0;
+    }
     fmt::format_to(std::back_inserter(out), "burdockstep_entries_serving {}\n", serving_entries);
+    fmt::format_to(std::back_inserter(out), "burdockstep_entries_of_known_capacity {}\n",
+                   entries_of_known_capacity);
     fmt::format_to(std::back_inserter(out), "burdockstep_datagrams_dropped_total {}\n",
                    dropped_datagrams_);
     datagrams_.write_metrics(out);
--- a/services/burdockstep_gateway/peers/peers_task.hpp
+++ b/services/burdockstep_gateway/peers/peers_task.hpp
@@ -31,6 +31,8 @@
     void on_datagram(address const& from, std::string_view bytes);
     void process_heartbeat(wire::heartbeat const& heartbeat_message, address const& sender);
     void process_records(wire::member_records const& records);
+    /// Takes over the capacities of entries whose records this peer has read.
+    void process_capacities(wire::entry_capacities_message const& told);
     void send_heartbeats();
     /// Asks the entries that may be lost, or may have returned, for a heartbeat.
     void send_probes(time_point now);
--- a/tests/fuzz/wire_target.cpp
+++ b/tests/fuzz/wire_target.cpp
@@ -50,7 +50,11 @@
     entries.entries.add({.instance = wire::name_text("entry-1")});
     wire::member_records records;
     records.records.add({.instance = wire::name_text("entry-2"), .incarnation = 3});
+    wire::entry_capacities_message capacities;
+    capacities.entries.add(
+        {.instance = wire::name_text("entry-1"), .core_thousandths = 500, .link_kbps = 200'000});
     return {wire::encode(beat),
+            wire::encode(capacities),
             wire::encode(records),
             wire::encode(update),
             wire::encode(report),
