dispatch: one relay of each place tells the others its slot counts

Cause: each entry sent its slot counts to each other entry, so these bytes between places and regions grow with the square of the entries and are the greatest part of what the deployment is charged for.

Change: in regions of 16 entries and more, an entry reports to its own place only; the place's strongest running entry sums these reports and tells the entries of the other places: each 20 ms within the region, at the former pace to other regions, twice a second in full. The sums travel in place_slot_report, a type of its own (existing messages are unchanged); receivers drop single reports that the sums contain. Smaller regions report as before. Two metrics show relays and dropped reports.

Weighed: reporting less often, only to users of an upstream, relays of relays, two relays a place (docs/design/uneven.md).

Tests: place_relay (choice, agreement, successor of a lost, stopping or leaving relay, small regions), place_report_filter (nothing counted twice, two relays at once), place_slot_sums (sums, changes by audience, idle upstreams, lost reports, silent entries).

--- a/libraries/dispatch/report_delays.cpp
+++ b/libraries/dispatch/report_delays.cpp
@@ -10,6 +10,8 @@
 constexpr duration min_own_region_delay = std::chrono::milliseconds(2);
 /// About the travel time of a datagram between regions.
 constexpr duration min_other_regions_delay = std::chrono::milliseconds(40);
+/// Collects the changes of a whole place; still far below the time that a request takes.
+constexpr duration min_other_places_delay = std::chrono::milliseconds(20);
 /// Limits on the datagrams that an entry sends per second to the entries of its own region and to
 /// those of other regions. At ten microseconds for sending and receiving each, they take less than
 /// 2% of a core.
@@ -32,7 +34,9 @@
     return {.own_region_delay = delay_within_datagram_limit(
                 own_region_entries, max_own_region_datagrams_per_s, min_own_region_delay),
             .other_regions_delay = delay_within_datagram_limit(
-                other_regions_entries, max_other_regions_datagrams_per_s, min_other_regions_delay)};
+                other_regions_entries, max_other_regions_datagrams_per_s, min_other_regions_delay),
+            .other_places_delay = delay_within_datagram_limit(
+                own_region_entries, max_own_region_datagrams_per_s, min_other_places_delay)};
 }
 
 } // namespace burdockstep
--- a/libraries/dispatch/report_delays.hpp
+++ b/libraries/dispatch/report_delays.hpp
@@ -15,6 +15,11 @@
     /// Changes within this time go into one report to the entries of other regions, which rarely
     /// use this region's upstreams.
     duration other_regions_delay{};
+    /// Changes within this time go into one report of a place's relay to the other places of the
+    /// region.
+    duration other_places_delay{};
+
+    friend bool operator==(report_delays const&, report_delays const&) = default;
 };
 
 /// Returns delays that limit the datagrams an entry sends per second, regardless of the number of
--- a/libraries/dispatch/reported_slot_usage.cpp
+++ b/libraries/dispatch/reported_slot_usage.cpp
@@ -11,9 +11,16 @@
 
 std::vector<upstream_key> reported_slot_usage::apply_report(wire::slot_report const& report,
                                                             time_point now)
+{
+    return apply_report(instance_name(report.instance.get()), report, now);
+}
+
+std::vector<upstream_key> reported_slot_usage::apply_report(instance_name const& stored_as,
+                                                            wire::slot_report const& report,
+                                                            time_point now)
 {
     std::vector<upstream_key> freed_upstreams;
-    entry_counts& entry = entries_[instance_name(report.instance.get())];
+    entry_counts& entry = entries_[stored_as];
     bool const incarnation_changed = entry.incarnation != report.incarnation;
     if (!incarnation_changed && report.number <= entry.number)
         return freed_upstreams;
--- a/libraries/dispatch/reported_slot_usage.hpp
+++ b/libraries/dispatch/reported_slot_usage.hpp
@@ -27,6 +27,9 @@
     /// requests in progress than before. Drops the report if its number isn't greater than that of
     /// the last report of the same incarnation.
     std::vector<upstream_key> apply_report(wire::slot_report const& report, time_point now);
+    /// Stores the counts under another name than that of the entry that sent them.
+    std::vector<upstream_key> apply_report(instance_name const& stored_as,
+                                           wire::slot_report const& report, time_point now);
     /// Drops the counts of an entry that no longer exists.
     void forget(instance_name const& entry);
     /// Drops the counts of entries that have sent no report for longer than `lifetime`.
@@ -34,6 +37,8 @@
 
     /// Number of requests that all other entries together have in progress at an upstream.
     unsigned under_way(upstream_key upstream) const;
+    /// Number of requests that all other entries together have in progress, by upstream.
+    std::unordered_map<upstream_key, unsigned> const& totals() const { return totals_; }
     /// Mean time since the last report of each entry; zero if there is none.
     duration mean_report_age(time_point now) const;
     /// Number of other entries whose counts are stored.
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -1,5 +1,7 @@
 #include "libraries/forwarding/forwarding_engine.hpp"
 
+#include "libraries/dispatch/place_relay.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -210,15 +212,31 @@
 {
     commands out;
     adopt_spill_fractions(report, now);
+    place_waiting_for(peer_counts_.apply_report(report, now), now, out);
+    return out;
+}
+
+forwarding_engine::commands
+forwarding_engine::handle_place_report(wire::place_slot_report const& report, time_point now)
+{
+    commands out;
+    adopt_spill_fractions(report.sums, now);
+    instance_name const stored_as = counts_name_of(place_name(report.place.get()));
+    place_waiting_for(peer_counts_.apply_report(stored_as, report.sums, now), now, out);
+    return out;
+}
+
+void forwarding_engine::place_waiting_for(std::vector<upstream_key> const& freed, time_point now,
+                                          commands& out)
+{
     std::set<service_name> services_with_freed_slots;
-    for (upstream_key const each : peer_counts_.apply_report(report, now)) {
+    for (upstream_key const each : freed) {
         auto const found = trackers_by_key_.find(each);
         if (found != trackers_by_key_.end())
             services_with_freed_slots.insert(found->second->known().registration.service);
     }
     for (service_name const& each : services_with_freed_slots)
         place_waiting(each, now, out);
-    return out;
 }
 
 forwarding_engine::commands forwarding_engine::resume(time_point now)
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -131,6 +131,8 @@
     void update_entries(std::map<instance_name, region_name> const& entries);
     /// Takes another entry's report of its requests at the upstreams and of its spill fractions.
     commands handle_slot_report(wire::slot_report const& report, time_point now);
+    /// Applies the sums of all entries of another place.
+    commands handle_place_report(wire::place_slot_report const& report, time_point now);
     /// Sends no requests before `resume` or the given time, because the known state may be
     /// outdated.
     void suspend(time_point until) { suspended_until_ = until; }
@@ -319,6 +321,8 @@
     /// Sets the initial spill fraction of a service once enough is known about other entries.
     void begin_spill(service_pool& pool, time_point now);
     /// Takes over the spill fractions of another entry of this region if this one has just started.
+    /// Places waiting requests of the services of these upstreams, which have fewer requests now.
+    void place_waiting_for(std::vector<upstream_key> const& freed, time_point now, commands& out);
     void adopt_spill_fractions(wire::slot_report const& report, time_point now);
 
     // Ends of sends and requests (forwarding_endings.cpp).
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -375,9 +375,25 @@
                            entry_capacities_message const&) = default;
 };
 
+/// Requests that all entries of one place have under way, sent by the place's relay to the entries
+/// of other places. They drop it unless it is the next of the relay they know or a full report.
+struct place_slot_report
+{
+    name_text place;
+    slot_report sums; ///< `instance` and `incarnation` are those of the relay.
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(place, sums);
+    }
+
+    friend bool operator==(place_slot_report const&, place_slot_report const&) = default;
+};
+
 /// Any message. The index of an alternative is the type byte of the encoding.
 using message = std::variant<heartbeat, pool_report, state_request, state_answer, slot_report,
                              registry_update_message, entries_update_message, member_records,
-                             entry_capacities_message>;
+                             entry_capacities_message, place_slot_report>;
 
 } // namespace burdockstep::wire
--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -80,11 +80,33 @@
     duration cold_time_left{};
 };
 
+/// The entries that a report of slot counts goes to.
+enum class report_audience
+{
+    own_place,
+    own_region,
+    other_places_of_region, ///< The own region's entries that aren't in the own place.
+    other_regions
+};
+
 /// This entry's slot counts, ready to be sent to other entries.
 struct slot_report_ready
 {
     wire::slot_report report;
-    bool to_own_region = true; ///< If false, it goes to the entries of the other regions.
+    report_audience audience = report_audience::own_region;
+};
+
+/// Slot counts of this entry's whole place, ready to be sent to entries of other places.
+struct place_report_ready
+{
+    wire::place_slot_report report;
+    report_audience audience = report_audience::other_places_of_region;
+};
+
+/// Slot counts of another place that its relay has sent.
+struct place_report_received
+{
+    wire::place_slot_report report;
 };
 
 /// Slot counts that another entry has sent.
@@ -151,14 +173,13 @@
 struct process_ending
 {};
 
-using event =
-    std::variant<routing_document_applied, upstreams_changed, registry_refreshed,
-                 entry_records_received, members_changed, directives_applied,
-                 peer_directives_position_received, store_history_replaced, upstream_leaving,
-                 upstream_cold_start_reported, slot_report_ready, slot_report_received,
-                 registry_update_ready, registry_update_received, entries_update_ready,
-                 entry_capacities_ready, entries_update_received, store_reachability_changed,
-                 process_resumed, stop_begun, caller_grace_period_ended, process_ending>;
+using event = std::variant<
+    routing_document_applied, upstreams_changed, registry_refreshed, entry_records_received,
+    members_changed, directives_applied, peer_directives_position_received, store_history_replaced,
+    upstream_leaving, upstream_cold_start_reported, slot_report_ready, slot_report_received,
+    registry_update_ready, registry_update_received, entries_update_ready, entry_capacities_ready,
+    place_report_ready, place_report_received, entries_update_received, store_reachability_changed,
+    process_resumed, stop_begun, caller_grace_period_ended, process_ending>;
 
 /// Queues an event for delivery to all tasks.
 using event_sink = std::function<void(event)>;
--- a/services/burdockstep_gateway/peers/peer_targets.cpp
+++ b/services/burdockstep_gateway/peers/peer_targets.cpp
@@ -19,6 +19,8 @@
                            std::vector<member_view> const& members)
 {
     own_region_.clear();
+    own_place_.clear();
+    other_places_of_region_.clear();
     other_regions_.clear();
     distances_.clear();
     for (member_view const& each : members) {
@@ -31,8 +33,13 @@
         else if (in_region)
             distance = peer_distance::same_region;
         distances_[each.listed.peers] = distance;
-        if (each.is_reachable())
-            (in_region ? own_region_ : other_regions_).push_back(each.listed.peers);
+        if (!each.is_reachable())
+            continue;
+        if (distance == peer_distance::same_place)
+            own_place_.push_back(each.listed.peers);
+        else if (in_region)
+            other_places_of_region_.push_back(each.listed.peers);
+        (in_region ? own_region_ : other_regions_).push_back(each.listed.peers);
     }
 }
 
--- a/services/burdockstep_gateway/peers/peer_targets.hpp
+++ b/services/burdockstep_gateway/peers/peer_targets.hpp
@@ -31,6 +31,10 @@
 
     /// Addresses of the reachable entries of this region, without this one.
     std::vector<address> const& own_region() const { return own_region_; }
+    /// Addresses of the reachable entries of this place, without this one.
+    std::vector<address> const& own_place() const { return own_place_; }
+    /// Addresses of the reachable entries of this region that are in other places.
+    std::vector<address> const& other_places_of_region() const { return other_places_of_region_; }
     /// Addresses of the reachable entries of the other regions.
     std::vector<address> const& other_regions() const { return other_regions_; }
     /// The distance of a listed entry, reachable or not; nothing if no listed entry has the
@@ -47,6 +51,8 @@
     };
 
     std::vector<address> own_region_;
+    std::vector<address> own_place_;
+    std::vector<address> other_places_of_region_;
     std::vector<address> other_regions_;
     std::unordered_map<address, peer_distance, address_hash> distances_;
 };
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -65,6 +65,8 @@
                 context_.post(entries_update_received{.update = *listed});
             else if (auto const* const told = std::get_if<wire::entry_capacities_message>(&message))
                 process_capacities(*told);
+            else if (auto const* const sums = std::get_if<wire::place_slot_report>(&message))
+                context_.post(place_report_received{.report = *sums});
             return {};
         },
         [&](failure const& error) {
@@ -151,6 +153,21 @@
         });
 }
 
+std::vector<address> const& peers_task::targets_of(report_audience audience) const
+{
+    switch (audience) {
+    case report_audience::own_place:
+        return targets_.own_place();
+    case report_audience::other_places_of_region:
+        return targets_.other_places_of_region();
+    case report_audience::other_regions:
+        return targets_.other_regions();
+    case report_audience::own_region:
+        break;
+    }
+    return targets_.own_region();
+}
+
 void peers_task::send_to_all(wire::message const& message)
 {
     send(message, targets_.own_region());
@@ -230,8 +247,10 @@
             send_heartbeats();
     }
     else if (auto const* const outgoing_report = std::get_if<slot_report_ready>(&new_event)) {
-        send(outgoing_report->report,
-             outgoing_report->to_own_region ? targets_.own_region() : targets_.other_regions());
+        send(outgoing_report->report, targets_of(outgoing_report->audience));
+    }
+    else if (auto const* const sums = std::get_if<place_report_ready>(&new_event)) {
+        send(sums->report, targets_of(sums->audience));
     }
     else if (auto const* const update = std::get_if<registry_update_ready>(&new_event)) {
         send_to_all(update->update);
--- a/services/burdockstep_gateway/peers/peers_task.hpp
+++ b/services/burdockstep_gateway/peers/peers_task.hpp
@@ -28,6 +28,7 @@
     /// logged: it must not end the process.
     void send(wire::message const& message, std::vector<address> const& targets);
     void send_to_all(wire::message const& message);
+    std::vector<address> const& targets_of(report_audience audience) const;
     void on_datagram(address const& from, std::string_view bytes);
     void process_heartbeat(wire::heartbeat const& heartbeat_message, address const& sender);
     void process_records(wire::member_records const& records);
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -53,7 +53,8 @@
       upstream_client_(context.loop, context.clock, make_client_limits(context.settings)),
       caller_server_(context.loop, context.clock, {}), engine_tick_timer_(context.loop),
       maintenance_timer_(context.loop), own_region_report_timer_(context.loop),
-      other_regions_report_timer_(context.loop)
+      other_regions_report_timer_(context.loop),
+      place_reports_(context, [this] { return engine_.all_counts(); })
 {}
 
 result<void> requests_task::try_start()
@@ -72,6 +73,7 @@
             report_all_counts(true);
             if (!std::exchange(reported_to_other_regions_, false))
                 report_all_counts(false);
+            place_reports_.send_all(engine_.spill_fractions());
         }
     });
     return {};
@@ -346,7 +348,8 @@
     auto counts = engine_.take_changed_counts();
     if (counts.empty())
         return;
-    context_.post(slot_report_ready{.report = make_slot_report(std::move(counts), false)});
+    context_.post(slot_report_ready{.report = make_slot_report(std::move(counts), false),
+                                    .audience = place_reports_.own_audience()});
     if (other_regions_report_scheduled_)
         return;
     other_regions_report_scheduled_ = true;
@@ -359,6 +362,8 @@
 void requests_task::report_all_counts(bool to_own_region)
 {
     reported_to_other_regions_ = reported_to_other_regions_ || !to_own_region;
+    if (!to_own_region && place_reports_.uses_relays())
+        return;
     wire::slot_report report = make_slot_report(engine_.all_counts(), true);
     if (to_own_region) {
         for (wire::service_spill_fraction const& each : engine_.spill_fractions()) {
@@ -366,7 +371,9 @@
                 report.spilled_fractions.add(each);
         }
     }
-    context_.post(slot_report_ready{.report = std::move(report), .to_own_region = to_own_region});
+    context_.post(slot_report_ready{.report = std::move(report),
+                                    .audience = to_own_region ? place_reports_.own_audience()
+                                                              : report_audience::other_regions});
 }
 
 void requests_task::apply_routing_document(routing_document_applied const& applied_document)
@@ -404,10 +411,16 @@
             own_region_entries += each.listed.region == context_.settings.region ? 1 : 0;
         }
         report_delays_ = report_delays_for(own_region_entries, entries.size() - own_region_entries);
+        place_reports_.update_members(members->members, report_delays_);
         engine_.update_entries(entries);
     }
     else if (auto const* const report = std::get_if<slot_report_received>(&new_event)) {
-        execute(engine_.handle_slot_report(report->report, now));
+        if (place_reports_.accept(report->report))
+            execute(engine_.handle_slot_report(report->report, now));
+    }
+    else if (auto const* const sums = std::get_if<place_report_received>(&new_event)) {
+        if (place_reports_.accept(sums->report))
+            execute(engine_.handle_place_report(sums->report, now));
     }
     else if (auto const* const reachability = std::get_if<store_reachability_changed>(&new_event)) {
         engine_.set_routes_incomplete(!reachability->reachable);
@@ -458,6 +471,7 @@
         write_metric(
             fmt::format("refusals_total{{reason=\"{}\"}}", name_of(static_cast<refusal>(i))),
             counters.refusals[i]);
+    place_reports_.write_metrics(out);
     write_metric("requests_under_way", engine_.requests_under_way());
     http1::client_counters const& connections = upstream_client_.counters();
     write_metric("upstream_connections_opened_total", connections.connections_opened);
--- a/services/burdockstep_gateway/requests/requests_task.hpp
+++ b/services/burdockstep_gateway/requests/requests_task.hpp
@@ -1,6 +1,7 @@
 /// Accepts callers' requests, sends them to upstreams and returns the answers.
 #pragma once
 
+#include "services/burdockstep_gateway/requests/place_reports.hpp"
 #include "services/burdockstep_gateway/task.hpp"
 
 #include "libraries/core/log.hpp"
@@ -82,6 +83,7 @@
     bool other_regions_report_scheduled_ = false;
     bool reported_to_other_regions_ = false; ///< Since the last full report to the own region.
     report_delays report_delays_ = report_delays_for(1, 0);
+    place_reports place_reports_;
     std::unordered_map<request_id, std::shared_ptr<http1::exchange>> exchanges_;
     std::unordered_map<request_id, http1::call_number> active_sends_;
     http1::call_result current_answer_; ///< Answer of the send that is being reported to `engine_`.
