--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -80,11 +80,33 @@
     duration cold_time_left{};
 };
 
+/// The entries that a report of slot counts goes to.
+enum class report_audience
+{
+    own_place,
+    own_region,
+    other_places_of_region, ///< The own region's entries that aren't in the own place.
+    other_regions
+};
+
 /// This entry's slot counts, ready to be sent to other entries.
 struct slot_report_ready
 {
     wire::slot_report report;
-    bool to_own_region = true; ///< If false, it goes to the entries of the other regions.
+    report_audience audience = report_audience::own_region;
+};
+
+/// Slot counts of this entry's whole place, ready to be sent to entries of other places.
+struct place_report_ready
+{
+    wire::place_slot_report report;
+    report_audience audience = report_audience::other_places_of_region;
+};
+
+/// Slot counts of another place that its relay has sent.
+struct place_report_received
+{
+    wire::place_slot_report report;
 };
 
 /// Slot counts that another entry has sent.
@@ -111,6 +133,12 @@
     wire::entries_update_message update;
 };
 
+/// Capacities of entries whose records have changed, ready to be sent to all entries.
+struct entry_capacities_ready
+{
+    wire::entry_capacities_message capacities;
+};
+
 /// Changes of the list of entries that another entry has read and sent.
 struct entries_update_received
 {
@@ -182,7 +210,8 @@
     registry_update_ready, registry_update_received, entries_update_ready, entries_update_received,
     store_reachability_changed, process_resumed, stop_begun, caller_grace_period_ended,
     process_ending, directives_confirmed, key_confirmation_wanted, confirmation_message_ready,
-    directives_question_received, directives_proof_received>;
+    directives_question_received, directives_proof_received, entry_capacities_ready,
+    place_report_ready, place_report_received>;
 
 /// Queues an event for delivery to all tasks.
 using event_sink = std::function<void(event)>;
