teams: quotas hold over all entries together

Cause: a team's rate and burst were read from the configuration but nothing counted requests, so a hot team pushed out what others were owed.

Change: a quota is divided into shares. Questions of several teams to one owner travel together. Requests that no owner answers for are refused with 503, those over the quota with 429, both as not run.

Weighed: one owner for a whole team leaves it without tokens until its loss is noticed; several shares lose a part only. Returning unused tokens to the owner by message was left out: prefetched tokens are few and lapse.

--- a/libraries/forwarding/forwarding_callers.cpp
+++ b/libraries/forwarding/forwarding_callers.cpp
@@ -40,17 +40,20 @@
         schedule(request, request.deadline);
         return false;
     case quota_verdict::over_quota:
+    case quota_verdict::undecided:
         break;
     }
-    refuse_over_quota(request, answer, now, out);
+    refuse_without_token(request, answer, now, out);
     return false;
 }
 
-void forwarding_engine::refuse_over_quota(pending_request& request, quota_answer const& answer,
-                                          time_point now, commands& out)
+void forwarding_engine::refuse_without_token(pending_request& request, quota_answer const& answer,
+                                             time_point now, commands& out)
 {
     request.quota_retry_after = answer.retry_after;
-    end_with_refusal(request, refusal::over_quota, now, out);
+    bool const is_over_quota = answer.verdict == quota_verdict::over_quota;
+    end_with_refusal(request, is_over_quota ? refusal::over_quota : refusal::unknown_quota, now,
+                     out);
 }
 
 void forwarding_engine::return_quota_token(pending_request& request, time_point now)
@@ -72,8 +75,8 @@
     pending_request& request = found->second;
     request.awaits_quota = false;
     unschedule(request);
-    if (answer.verdict == quota_verdict::over_quota) {
-        refuse_over_quota(request, answer, now, out);
+    if (answer.verdict != quota_verdict::admitted) {
+        refuse_without_token(request, answer, now, out);
         return out;
     }
     request.holds_quota_token = true;
--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -210,7 +210,7 @@
 {
     if (reason == refusal::stopping)
         return options_.stopping_retry_delay;
-    if (reason == refusal::over_quota)
+    if (reason == refusal::over_quota || reason == refusal::unknown_quota)
         return request.quota_retry_after;
     if (request.matched_route == nullptr)
         return default_retry_after;
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -54,6 +54,8 @@
         return "unconfirmed-key";
     case refusal::over_quota:
         return "over-quota";
+    case refusal::unknown_quota:
+        return "unknown-quota";
     }
     return "unknown";
 }
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -266,8 +266,8 @@
     /// Asks the quota gate. Returns false if the request has to wait for the verdict or was
     /// refused.
     bool take_quota_token(pending_request& request, time_point now, commands& out);
-    void refuse_over_quota(pending_request& request, quota_answer const& answer, time_point now,
-                           commands& out);
+    void refuse_without_token(pending_request& request, quota_answer const& answer, time_point now,
+                              commands& out);
     /// Returns the token, or withdraws the question, of a request that no upstream has run.
     void return_quota_token(pending_request& request, time_point now);
     std::optional<caller_identity> identity_of_caller(pending_request const& request) const;
--- a/libraries/forwarding/forwarding_messages.hpp
+++ b/libraries/forwarding/forwarding_messages.hpp
@@ -124,10 +124,11 @@
     stopping,         ///< This entry is shutting down.
     unknown_key,      ///< No team holds the caller's key.
     unconfirmed_key,  ///< What this entry knows of keys is too old to act on.
-    over_quota        ///< The caller's team has used its quota.
+    over_quota,       ///< The caller's team has used its quota.
+    unknown_quota     ///< The entries that count the team's requests don't answer.
 };
 
-constexpr std::size_t refusal_count = static_cast<std::size_t>(refusal::over_quota) + 1;
+constexpr std::size_t refusal_count = static_cast<std::size_t>(refusal::unknown_quota) + 1;
 /// The name of a refusal in logs, such as "no-room".
 char const* name_of(refusal reason);
 
--- a/libraries/teams/quota_gate.hpp
+++ b/libraries/teams/quota_gate.hpp
@@ -10,16 +10,19 @@
 /// Whether a request is within its team's quota.
 enum class quota_verdict
 {
-    admitted,  ///< It holds a token.
-    pending,   ///< A token has been asked for; the verdict follows.
-    over_quota ///< The team has used its quota.
+    admitted,   ///< It holds a token.
+    pending,    ///< A token has been asked for; the verdict follows.
+    over_quota, ///< The team has used its quota.
+    undecided   ///< The entries that count the team's requests don't answer.
 };
 
+constexpr std::size_t quota_verdict_count = static_cast<std::size_t>(quota_verdict::undecided) + 1;
+
 /// The verdict on one request.
 struct quota_answer
 {
     quota_verdict verdict = quota_verdict::admitted;
-    duration retry_after{}; ///< If over quota: when the team will have a token.
+    duration retry_after{}; ///< If refused: when the team will have a token, or an answer.
 };
 
 /// Counts the requests of teams against their quotas, which hold over all entries together.
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -344,8 +344,72 @@
     friend bool operator==(entries_update_message const&, entries_update_message const&) = default;
 };
 
+/// How many tokens of one share of a team's quota the sender wants.
+struct quota_question_item
+{
+    std::uint64_t team = 0; ///< Hash of its name.
+    std::uint8_t share = 0;
+    std::uint16_t wanted = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(team, share, wanted);
+    }
+
+    friend bool operator==(quota_question_item const&, quota_question_item const&) = default;
+};
+
+/// Asks the owner of quota shares for tokens.
+struct quota_questions
+{
+    std::uint64_t number = 0; ///< Differs for all questions of one sender.
+    bounded_list<quota_question_item, 64> items;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, items);
+    }
+
+    friend bool operator==(quota_questions const&, quota_questions const&) = default;
+};
+
+/// The answer to one item of a question.
+struct quota_grant_item
+{
+    std::uint64_t team = 0;
+    std::uint8_t share = 0;
+    std::uint16_t granted = 0;
+    std::uint16_t wait_ms = 0; ///< How long not to ask again; 0 if all that was wanted is granted.
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(team, share, granted, wait_ms);
+    }
+
+    friend bool operator==(quota_grant_item const&, quota_grant_item const&) = default;
+};
+
+/// Answers `quota_questions`: the items have the same order.
+struct quota_grants
+{
+    std::uint64_t number = 0; ///< Of the questions.
+    bounded_list<quota_grant_item, 64> items;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, items);
+    }
+
+    friend bool operator==(quota_grants const&, quota_grants const&) = default;
+};
+
 /// Any message. The index of an alternative is the type byte of the encoding.
 using message = std::variant<heartbeat, pool_report, state_request, state_answer, slot_report,
-                             registry_update_message, entries_update_message, member_records>;
+                             registry_update_message, entries_update_message, member_records,
+                             quota_questions, quota_grants>;
 
 } // namespace burdockstep::wire
--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -117,6 +117,23 @@
     wire::entries_update_message update;
 };
 
+/// Questions about the quotas of teams, or the answers.
+using quota_message = std::variant<wire::quota_questions, wire::quota_grants>;
+
+/// A message about quotas, ready to be sent to another entry.
+struct quota_message_ready
+{
+    address to;
+    quota_message message;
+};
+
+/// A message about quotas that another entry has sent.
+struct quota_message_received
+{
+    address from;
+    quota_message message;
+};
+
 /// The store has become reachable or unreachable.
 struct store_reachability_changed
 {
@@ -145,14 +162,13 @@
 struct process_ending
 {};
 
-using event =
-    std::variant<routing_document_applied, upstreams_changed, registry_refreshed,
-                 entry_records_received, members_changed, directives_applied,
-                 peer_directives_position_received, store_history_replaced, upstream_leaving,
-                 upstream_cold_start_reported, slot_report_ready, slot_report_received,
-                 registry_update_ready, registry_update_received, entries_update_ready,
-                 entries_update_received, store_reachability_changed, process_resumed, stop_begun,
-                 caller_grace_period_ended, process_ending>;
+using event = std::variant<
+    routing_document_applied, upstreams_changed, registry_refreshed, entry_records_received,
+    members_changed, directives_applied, peer_directives_position_received, store_history_replaced,
+    upstream_leaving, upstream_cold_start_reported, slot_report_ready, slot_report_received,
+    registry_update_ready, registry_update_received, entries_update_ready, entries_update_received,
+    quota_message_ready, quota_message_received, store_reachability_changed, process_resumed,
+    stop_begun, caller_grace_period_ended, process_ending>;
 
 /// Queues an event for delivery to all tasks.
 using event_sink = std::function<void(event)>;
--- a/services/burdockstep_gateway/peers/datagram_counters.cpp
+++ b/services/burdockstep_gateway/peers/datagram_counters.cpp
@@ -10,8 +10,8 @@
 
 /// Names of the alternatives of `wire::message`, in their order.
 constexpr std::array<char const*, std::variant_size_v<wire::message>> message_names{
-    "heartbeat",   "pool_report",     "state_request",  "state_answer",
-    "slot_report", "registry_update", "entries_update", "member_records"};
+    "heartbeat",       "pool_report",    "state_request",  "state_answer",    "slot_report",
+    "registry_update", "entries_update", "member_records", "quota_questions", "quota_grants"};
 
 } // namespace
 
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -63,6 +63,10 @@
                 context_.post(registry_update_received{.update = *update});
             else if (auto const* const listed = std::get_if<wire::entries_update_message>(&message))
                 context_.post(entries_update_received{.update = *listed});
+            else if (auto const* const questions = std::get_if<wire::quota_questions>(&message))
+                context_.post(quota_message_received{.from = from, .message = *questions});
+            else if (auto const* const grants = std::get_if<wire::quota_grants>(&message))
+                context_.post(quota_message_received{.from = from, .message = *grants});
             return {};
         },
         [&](failure const& error) {
@@ -230,6 +234,9 @@
     else if (auto const* const listed = std::get_if<entries_update_ready>(&new_event)) {
         send_to_all(listed->update);
     }
+    else if (auto const* const quota = std::get_if<quota_message_ready>(&new_event)) {
+        std::visit([&](auto const& message) { send(message, {quota->to}); }, quota->message);
+    }
     else if (std::holds_alternative<stop_begun>(new_event)) {
         own_state_ = wire::member_state::stopping;
         send_heartbeats();
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -49,12 +49,19 @@
 
 requests_task::requests_task(gateway_context& context, http_dialect const& dialect)
     : context_(context), dialect_(dialect),
+      quotas_(context,
+              [this](late_quota_verdict const& verdict) {
+                  execute(engine_.handle_quota_answer(verdict.request, verdict.answer,
+                                                      context_.clock.now()));
+              }),
       engine_(make_forwarding_options(context.settings), context.random),
       upstream_client_(context.loop, context.clock, make_client_limits(context.settings)),
       caller_server_(context.loop, context.clock, {}), engine_tick_timer_(context.loop),
       maintenance_timer_(context.loop), own_region_report_timer_(context.loop),
       other_regions_report_timer_(context.loop)
-{}
+{
+    engine_.set_quota_gate(quotas_);
+}
 
 result<void> requests_task::try_start()
 {
@@ -383,6 +390,7 @@
 void requests_task::receive(event const& new_event)
 {
     time_point const now = context_.clock.now();
+    quotas_.receive(new_event);
     if (auto const* const applied_document = std::get_if<routing_document_applied>(&new_event)) {
         apply_routing_document(*applied_document);
     }
@@ -498,6 +506,7 @@
     write_quantiles("request_latency_us", request_latencies_);
     write_quantiles("request_hold_us", hold_times_);
     write_quantiles("slot_report_age_us", slot_report_ages_);
+    quotas_.write_metrics(out);
 }
 
 } // namespace burdockstep::gateway
--- a/services/burdockstep_gateway/requests/requests_task.hpp
+++ b/services/burdockstep_gateway/requests/requests_task.hpp
@@ -1,6 +1,7 @@
 /// Accepts callers' requests, sends them to upstreams and returns the answers.
 #pragma once
 
+#include "services/burdockstep_gateway/requests/quota_exchange.hpp"
 #include "services/burdockstep_gateway/task.hpp"
 
 #include "libraries/core/log.hpp"
@@ -70,6 +71,7 @@
     static constexpr unsigned log_lines_per_second = 100;
 
     logger log_{"requests", log_lines_per_second};
+    quota_exchange quotas_;
     forwarding_engine engine_;
     http1::client upstream_client_;
     http1::server caller_server_;
--- a/tests/fuzz/wire_target.cpp
+++ b/tests/fuzz/wire_target.cpp
@@ -50,7 +50,13 @@
     entries.entries.add({.instance = wire::name_text("entry-1")});
     wire::member_records records;
     records.records.add({.instance = wire::name_text("entry-2"), .incarnation = 3});
+    wire::quota_questions questions{.number = 7, .items = {}};
+    questions.items.add({.team = 5, .share = 1, .wanted = 2});
+    wire::quota_grants grants{.number = 7, .items = {}};
+    grants.items.add({.team = 5, .share = 1, .granted = 2, .wait_ms = 3});
     return {wire::encode(beat),
+            wire::encode(questions),
+            wire::encode(grants),
             wire::encode(records),
             wire::encode(update),
             wire::encode(report),
--- a/tests/unit/team_identification_test.cpp
+++ b/tests/unit/team_identification_test.cpp
@@ -180,6 +180,20 @@
     LONGS_EQUAL(1, gate.given_back);
 }
 
+TEST(team_identification, a_quota_that_no_one_counts_is_refused_as_unavailable)
+{
+    start_with_teams(4, {.requests_per_s = 1, .burst = 1});
+    gate.answer = {.verdict = quota_verdict::undecided, .retry_after = ms(70)};
+    auto const at_once = submit_with_key("key-n");
+    LONGS_EQUAL(503, refusal_status(at_once));
+    CHECK(find_command<refuse_request>(at_once)->retry_after == ms(70));
+    gate.answer = {.verdict = quota_verdict::pending, .retry_after = {}};
+    submit_with_key("key-n");
+    auto const later = engine->handle_quota_answer(
+        request_id(2), {.verdict = quota_verdict::undecided, .retry_after = ms(70)}, now);
+    LONGS_EQUAL(503, refusal_status(later));
+}
+
 TEST(team_identification, a_caller_that_leaves_withdraws_its_question)
 {
     start_with_teams(4, {.requests_per_s = 1, .burst = 1});
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -51,10 +51,18 @@
     state.instances.add({.instance = wire::name_text("armor-2"), .leaving = true});
     wire::member_records records;
     records.records.add({.instance = wire::name_text("armor-2"), .incarnation = 3});
+    wire::quota_questions questions{.number = 9, .items = {}};
+    questions.items.add({.team = 0x0123456789abcdef, .share = 3, .wanted = 500});
+    wire::quota_grants grants{.number = 9, .items = {}};
+    grants.items.add({.team = 0x0123456789abcdef, .share = 3, .granted = 499, .wait_ms = 20});
     wire::message const messages[] = {
         sample_heartbeat(),
         wire::pool_report{.service = wire::name_text("levels"), .slots = 12, .in_flight = 3},
-        wire::state_request{.known_version = 4}, state, records};
+        wire::state_request{.known_version = 4},
+        state,
+        records,
+        questions,
+        grants};
     for (wire::message const& each : messages)
         CHECK(round_trip(each) == each);
 }
@@ -82,6 +90,31 @@
     CHECK(wire::encode(message).size() <= wire::max_datagram_bytes);
 }
 
+TEST(wire, full_quota_messages_fit_in_a_datagram)
+{
+    wire::quota_questions questions{.number = 1, .items = {}};
+    while (!questions.items.is_full())
+        questions.items.add({.team = 1});
+    CHECK(wire::encode(questions).size() <= wire::max_datagram_bytes);
+    wire::quota_grants grants{.number = 1, .items = {}};
+    while (!grants.items.is_full())
+        grants.items.add({.team = 1});
+    CHECK(wire::encode(grants).size() <= wire::max_datagram_bytes);
+}
+
+TEST(wire, truncated_quota_messages_and_long_lists_are_rejected)
+{
+    wire::quota_questions questions{.number = 1, .items = {}};
+    questions.items.add({.team = 1, .share = 2, .wanted = 3});
+    std::string const bytes = wire::encode(questions);
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        CHECK(is_rejected_as_malformed(std::string_view(bytes).substr(0, size)));
+    // After the version, the type, cereal's byte order and the number comes the list's length.
+    std::string too_long = bytes;
+    too_long[11] = 65;
+    CHECK(is_rejected_as_malformed(too_long));
+}
+
 TEST(wire, malformed_messages_are_rejected)
 {
     std::string const valid_bytes = wire::encode(sample_heartbeat());
