--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -175,6 +175,23 @@
     wire::directives_proof proof;
 };
 
+/// Questions about the quotas of teams, or the answers.
+using quota_message = std::variant<wire::quota_questions, wire::quota_grants>;
+
+/// A message about quotas, ready to be sent to another entry.
+struct quota_message_ready
+{
+    address to;
+    quota_message message;
+};
+
+/// A message about quotas that another entry has sent.
+struct quota_message_received
+{
+    address from;
+    quota_message message;
+};
+
 /// The store has become reachable or unreachable.
 struct store_reachability_changed
 {
@@ -211,7 +228,7 @@
     store_reachability_changed, process_resumed, stop_begun, caller_grace_period_ended,
     process_ending, directives_confirmed, key_confirmation_wanted, confirmation_message_ready,
     directives_question_received, directives_proof_received, entry_capacities_ready,
-    place_report_ready, place_report_received>;
+    place_report_ready, place_report_received, quota_message_ready, quota_message_received>;
 
 /// Queues an event for delivery to all tasks.
 using event_sink = std::function<void(event)>;
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -71,6 +71,10 @@
                 process_capacities(*told);
             else if (auto const* const sums = std::get_if<wire::place_slot_report>(&message))
                 context_.post(place_report_received{.report = *sums});
+            else if (auto const* const questions = std::get_if<wire::quota_questions>(&message))
+                context_.post(quota_message_received{.from = from, .message = *questions});
+            else if (auto const* const grants = std::get_if<wire::quota_grants>(&message))
+                context_.post(quota_message_received{.from = from, .message = *grants});
             return {};
         },
         [&](failure const& error) {
@@ -268,6 +272,9 @@
     else if (auto const* const told = std::get_if<entry_capacities_ready>(&new_event)) {
         send_to_all(told->capacities);
     }
+    else if (auto const* const quota = std::get_if<quota_message_ready>(&new_event)) {
+        std::visit([&](auto const& message) { send(message, {quota->to}); }, quota->message);
+    }
     else if (std::holds_alternative<stop_begun>(new_event)) {
         own_state_ = wire::member_state::stopping;
         send_heartbeats();
--- a/tests/fuzz/wire_target.cpp
+++ b/tests/fuzz/wire_target.cpp
@@ -53,8 +53,14 @@
     wire::entry_capacities_message capacities;
     capacities.entries.add(
         {.instance = wire::name_text("entry-1"), .core_thousandths = 500, .link_kbps = 200'000});
+    wire::quota_questions questions{.number = 7, .items = {}};
+    questions.items.add({.team = 5, .share = 1, .wanted = 2});
+    wire::quota_grants grants{.number = 7, .items = {}};
+    grants.items.add({.team = 5, .share = 1, .granted = 2, .wait_ms = 3});
     return {wire::encode(beat),
             wire::encode(capacities),
+            wire::encode(questions),
+            wire::encode(grants),
             wire::encode(records),
             wire::encode(update),
             wire::encode(report),
