--- a/tests/unit/directives_confirmation_test.cpp
+++ b/tests/unit/directives_confirmation_test.cpp
@@ -181,6 +181,7 @@
     LONGS_EQUAL(1, asker.counters().proofs_from_entries);
     asker.handle_proof(proof, now);
     LONGS_EQUAL(1, asker.counters().proofs_from_entries);
+    LONGS_EQUAL(0, asker.counters().proofs_without_use);
 }
 
 TEST(directives_confirmation, a_proof_of_newer_directives_counts_once_they_are_applied)
@@ -190,6 +191,9 @@
     auto const actions = answer(at_version(11), 0);
     CHECK(actions.read_directives == at_version(11));
     CHECK(age() == ms(1'000));
+    // Something else was read, but not yet the newer directives.
+    asker.handle_applied(at_version(10));
+    CHECK(age() == ms(1'000));
     now += ms(30);
     asker.handle_applied(at_version(11));
     CHECK(age() == ms(30));
