teams: entries that were cut off act on keys again sooner

They heard from others that there were newer directives, or had lost all others, and waited for the end of the pause before the next try at the store.

Change: a proof about directives not applied here shows that the store serves others: a read that only waits for its pause is then repeated after half a second, longer with more entries (2,000 calls a second together at most). Without a proof for long, the last question of a round goes to an entry that seemed lost.

Weighed: shorter pauses for all: more calls to a store that is away for all.

--- a/libraries/discovery/confirmation_sources.cpp
+++ b/libraries/discovery/confirmation_sources.cpp
@@ -58,7 +58,12 @@
     std::vector<member_view const*> live;
     std::vector<member_view const*> live_readers;
     for (member_view const& each : members) {
-        if (each.listed.instance == self.instance || !each.is_running())
+        if (each.listed.instance == self.instance)
+            continue;
+        bool const was_heard = each.incarnation.get() != 0 && !each.listed.leaving;
+        if (was_heard && !each.is_reachable())
+            sources.lost.push_back(each.listed.peers);
+        if (!each.is_running())
             continue;
         live.push_back(&each);
         sources.others.push_back(each.listed.peers);
--- a/libraries/discovery/confirmation_sources.hpp
+++ b/libraries/discovery/confirmation_sources.hpp
@@ -12,6 +12,8 @@
 {
     std::vector<address> preferred; ///< In the order in which they are asked.
     std::vector<address> others;    ///< The other live entries, in no order.
+    /// Entries that were heard in this run and seem lost: perhaps this one was cut off.
+    std::vector<address> lost;
 };
 
 /// Chooses the entries that `self` asks: the registry readers, its own region's first. With many
--- a/libraries/discovery/directives_confirmation.cpp
+++ b/libraries/discovery/directives_confirmation.cpp
@@ -31,10 +31,11 @@
 {}
 
 void directives_confirmation::set_sources(std::vector<address> preferred,
-                                          std::vector<address> others)
+                                          std::vector<address> others, std::vector<address> lost)
 {
     preferred_ = std::move(preferred);
     others_ = std::move(others);
+    lost_ = std::move(lost);
 }
 
 void directives_confirmation::note_era(store_era era)
@@ -176,10 +177,20 @@
     round_began_at_ = now;
     asked_next_.assign(preferred_.rbegin(), preferred_.rend());
     while (!others_.empty() && asked_next_.size() < options_.max_questions_per_round)
-        asked_next_.insert(asked_next_.begin(), others_[random_.below(others_.size())]);
+        asked_next_.insert(asked_next_.begin(), random_one_of(others_));
+    bool const asks_lost = !lost_.empty() && is_older_than(options_.store_age, now);
+    if (asks_lost && asked_next_.size() >= options_.max_questions_per_round)
+        asked_next_.front() = random_one_of(lost_);
+    else if (asks_lost)
+        asked_next_.insert(asked_next_.begin(), random_one_of(lost_));
     ask_next(now, out);
 }
 
+address directives_confirmation::random_one_of(std::vector<address> const& entries)
+{
+    return entries[random_.below(entries.size())];
+}
+
 void directives_confirmation::ask_next(time_point now, confirmation_actions& out)
 {
     if (asked_next_.empty())
--- a/libraries/discovery/directives_confirmation.hpp
+++ b/libraries/discovery/directives_confirmation.hpp
@@ -79,7 +79,9 @@
     /// only while the store gives it no proof.
     void set_reads_store(bool reads) { reads_store_ = reads; }
     /// Sets whom to ask: `preferred` in their order, then some of `others`, which may repeat them.
-    void set_sources(std::vector<address> preferred, std::vector<address> others);
+    /// Without a proof for long, the last one of a round is one of `lost`, which may have returned.
+    void set_sources(std::vector<address> preferred, std::vector<address> others,
+                     std::vector<address> lost = {});
     /// Takes the newest era of the store that is known. Later proofs of earlier eras don't count.
     void note_era(store_era era);
 
@@ -121,6 +123,7 @@
     bool is_round_due(time_point now) const;
     void begin_round(time_point now, confirmation_actions& out);
     void ask_next(time_point now, confirmation_actions& out);
+    address random_one_of(std::vector<address> const& entries);
     void read_store_if_due(time_point now, confirmation_actions& out);
     void confirm(time_point fresh_as_of);
     duration random_store_age();
@@ -131,6 +134,7 @@
     bool reads_store_ = false;
     std::vector<address> preferred_;
     std::vector<address> others_;
+    std::vector<address> lost_;
     store_era newest_era_;
     store_position applied_;
     std::optional<time_point> fresh_as_of_;
--- a/services/burdockstep_gateway/discovery/directives_confirmer.cpp
+++ b/services/burdockstep_gateway/discovery/directives_confirmer.cpp
@@ -8,6 +8,15 @@
 
 namespace burdockstep::gateway {
 
+namespace {
+
+/// Another entry's proof shows that the store serves some. Reads are repeated at this interval,
+/// longer with more entries: together they make 2,000 calls a second at most.
+constexpr duration min_hasten_interval = std::chrono::milliseconds(500);
+constexpr duration hasten_interval_per_entry = std::chrono::microseconds(500);
+
+} // namespace
+
 directives_confirmer::directives_confirmer(gateway_context& context, directives_reader& reader,
                                            store_monitor& monitor)
     : context_(context), reader_(reader), store_monitor_(monitor),
@@ -48,7 +57,9 @@
     self.instance = context_.settings.instance;
     self.region = context_.settings.region;
     confirmation_sources sources = choose_confirmation_sources(self, members);
-    confirmation_.set_sources(std::move(sources.preferred), std::move(sources.others));
+    confirmation_.set_sources(std::move(sources.preferred), std::move(sources.others),
+                              std::move(sources.lost));
+    entries_ = members.size();
 }
 
 void directives_confirmer::receive(event const& new_event)
@@ -74,8 +85,10 @@
         context_.post(confirmation_message_ready{.to = actions.question->to,
                                                  .message = actions.question->question});
     }
-    if (actions.read_directives)
+    if (actions.read_directives) {
         reader_.note_peer_position(*actions.read_directives);
+        reader_.hasten_read(hasten_interval());
+    }
     if (actions.read_changes)
         reader_.read_changes_now();
     publish();
@@ -83,6 +96,11 @@
         schedule_tick();
 }
 
+duration directives_confirmer::hasten_interval() const
+{
+    return min_hasten_interval + hasten_interval_per_entry * entries_;
+}
+
 void directives_confirmer::publish()
 {
     auto const fresh_as_of = confirmation_.fresh_as_of();
--- a/services/burdockstep_gateway/discovery/directives_confirmer.hpp
+++ b/services/burdockstep_gateway/discovery/directives_confirmer.hpp
@@ -31,6 +31,8 @@
     void update_activity();
     void execute(confirmation_actions const& actions);
     void publish();
+    /// How often a read that waits to be repeated is repeated early at most.
+    duration hasten_interval() const;
     void schedule_tick();
 
     gateway_context& context_;
@@ -39,6 +41,7 @@
     directives_confirmation confirmation_;
     timer tick_timer_;
     std::optional<time_point> published_;
+    std::size_t entries_ = 0; ///< Listed ones.
 };
 
 } // namespace burdockstep::gateway
--- a/services/burdockstep_gateway/discovery/directives_reader.cpp
+++ b/services/burdockstep_gateway/discovery/directives_reader.cpp
@@ -37,6 +37,8 @@
     store_call const call{
         .number = ++last_call_, .started = context_.clock.now(), .is_full_read = true};
     oldest_valid_call_ = call.number;
+    last_call_began_at_ = call.started;
+    full_read_scheduled_ = false;
     call_pending_ = true;
     full_read_pending_ = true;
     store_client_.read_directives(
@@ -102,6 +104,13 @@
         read_all();
 }
 
+void directives_reader::hasten_read(duration min_interval)
+{
+    bool const is_due = context_.clock.now() - last_call_began_at_ >= min_interval;
+    if (full_read_scheduled_ && is_due)
+        read_all();
+}
+
 void directives_reader::note_history_replaced(store_era era)
 {
     if (position_.era < era && !full_read_pending_)
@@ -117,6 +126,7 @@
     if (!call.is_full_read && !is_long_polling_)
         return;
     call_pending_ = true;
+    full_read_scheduled_ = call.is_full_read;
     retry_timer_.start_once(
         store_monitor_.next_retry_delay(),
         [this, is_full_read = call.is_full_read] { is_full_read ? read_all() : long_poll(); });
--- a/services/burdockstep_gateway/discovery/directives_reader.hpp
+++ b/services/burdockstep_gateway/discovery/directives_reader.hpp
@@ -43,6 +43,9 @@
     void read_changes_now();
     /// Handles a peer's announcement that directives changed at this position of the store.
     void note_peer_position(store_position change);
+    /// Repeats a failed read of all directives now instead of after its pause, if the last call
+    /// began at least `min_interval` ago.
+    void hasten_read(duration min_interval);
     /// Handles the store's return from an older copy: all directives are read again.
     void note_history_replaced(store_era era);
 
@@ -95,7 +98,9 @@
     /// Answers to earlier calls are ignored: a later one has been applied, or all is read anew.
     std::uint64_t oldest_valid_call_ = 0;
     unsigned reads_of_changes_under_way_ = 0;
-    bool call_pending_ = false; ///< The latest call is under way or scheduled.
+    time_point last_call_began_at_;
+    bool call_pending_ = false;        ///< The latest call is under way or scheduled.
+    bool full_read_scheduled_ = false; ///< A read of all directives waits for its pause to end.
     bool confirms_often_ = false;
     /// The newest document couldn't be read, so that nothing is known of what it says.
     bool document_is_unreadable_ = false;
--- a/tests/unit/confirmation_sources_test.cpp
+++ b/tests/unit/confirmation_sources_test.cpp
@@ -65,7 +65,7 @@
     }
 }
 
-TEST(confirmation_sources, entries_that_are_gone_are_not_asked)
+TEST(confirmation_sources, entries_that_seem_lost_are_kept_apart)
 {
     add_members(3, 1);
     members[1].state = wire::member_state::lost;
@@ -73,6 +73,9 @@
     LONGS_EQUAL(1, sources.preferred.size());
     CHECK(sources.preferred[0] == members[2].listed.peers);
     LONGS_EQUAL(1, sources.others.size());
+    CHECK(sources.lost == std::vector{members[1].listed.peers});
+    members[1].listed.leaving = true;
+    CHECK(choose_confirmation_sources(members[0].listed, members).lost.empty());
 }
 
 TEST(confirmation_sources, a_lone_entry_asks_no_one)
--- a/tests/unit/directives_confirmation_test.cpp
+++ b/tests/unit/directives_confirmation_test.cpp
@@ -156,6 +156,29 @@
     CHECK(age() <= ms(2'600));
 }
 
+TEST(directives_confirmation, an_entry_that_was_cut_off_asks_those_that_seemed_lost)
+{
+    constexpr address lost_entry{.ip = 9, .port = 7};
+    asker.set_sources({first_reader}, {third_entry}, {lost_entry});
+    asker.handle_store_answer(at_version(10), now);
+    unsigned asked_while_fresh = 0;
+    unsigned asked_later = 0;
+    for (int i = 0; i < 400; ++i) {
+        auto const actions = tick_after(ms(10));
+        bool const asks_lost = actions.question && actions.question->to == lost_entry;
+        asked_while_fresh += asks_lost && age() <= ms(1'500) ? 1 : 0;
+        asked_later += asks_lost && age() > ms(1'500) ? 1 : 0;
+    }
+    LONGS_EQUAL(0, asked_while_fresh);
+    CHECK(asked_later >= 1);
+    CHECK(asked_later <= 3);
+    asker.set_sources({}, {}, {lost_entry});
+    now += ms(1'000);
+    tick_after(ms(500));
+    answer(at_version(10), 100);
+    CHECK(age() == ms(100));
+}
+
 TEST(directives_confirmation, an_answer_to_an_old_question_counts_from_that_question)
 {
     tick_after(ms(0));
