--- a/tests/process/test_withdrawn_keys.py
+++ b/tests/process/test_withdrawn_keys.py
@@ -115,6 +115,18 @@
     assert min(ages) >= STORE_DELAY_S, "a proof counts from the answer instead of the call"
 
 
+def check_while_the_newest_document_is_unreadable_keys_become_useless(deployment):
+    """It may have taken any key away."""
+    wait_until(lambda: deployment.statuses("kept") == [200] * 3, "a valid key is served")
+    deployment.post_control("row", table="op", key="config", value="{")
+    wait_until(lambda: deployment.statuses("kept") == [503] * 3, "a key is refused",
+               REVOCATION_LIMIT_S)
+    assert deployment.statuses(None, "/open/x") == [200] * 3
+    deployment.apply()
+    wait_until(lambda: deployment.statuses("kept") == [200] * 3, "the key is served again",
+               APPLY_LIMIT_S)
+
+
 def check_a_frozen_gateway_runs_no_withdrawn_key(deployment):
     wait_until(lambda: deployment.statuses("taken") == [200] * 3, "the key is served at first")
     frozen = deployment.gateways[1]
@@ -177,6 +189,7 @@
           check_proofs_stay_new_while_nothing_is_broken,
           check_without_the_store_keys_become_useless_in_time,
           check_a_slow_store_keeps_keys_in_use_and_its_answers_count_from_the_call,
+          check_while_the_newest_document_is_unreadable_keys_become_useless,
           check_a_frozen_gateway_runs_no_withdrawn_key,
           check_a_gateway_that_starts_without_the_store_denies_no_key,
           check_a_restored_store_confirms_keys_again]
--- a/tests/unit/platform_store_test.cpp
+++ b/tests/unit/platform_store_test.cpp
@@ -96,6 +96,17 @@
     CHECK(write_own_record().era == store_era(2));
 }
 
+TEST(platform_store, a_document_that_cannot_be_read_is_told_from_an_absent_one)
+{
+    CHECK(!read_directives().content.routing_is_unreadable);
+    standin.write("op", "config", "{\"version\":");
+    directives_answer const answer = read_directives();
+    CHECK(answer.content.routing == nullptr);
+    CHECK(answer.content.routing_is_unreadable);
+    standin.write("op", "config", R"({"version":"r3","listeners":[],"clusters":[]})");
+    CHECK(!read_directives().content.routing_is_unreadable);
+}
+
 TEST(platform_store, version_that_the_restored_store_lacks_is_truncated_history_of_a_new_era)
 {
     standin.write("op", "evacuate/p1", "{}");
