http1: one budget for what a gateway holds for others

Callers that nobody controls ended a process: nothing bounded the bytes of their requests together, a body was held up to four times (received, copied into the call, behind the call's head, unsent rest), answers that nobody read were held without a bound, a head of short fields took sixty times what was sent, and a connection stayed for good if its caller didn't close it after its last answer.

Now each connection has an account in a memory_budget, a class without I/O or clock, and what is held for its peer is charged there until it is freed. Half of memory_mb may be held, a sixteenth more for readiness checks and metrics; an eighth of the budget is kept for small accounts. Without room, slow connections are given up, those with the most bytes first; else what asks is refused: 503 with Retry-After for a request that is being received, a close before anything is read for a connection, 502 for an answer that had come in part. A caller that makes progress or waits for this entry is kept. Descriptors have a budget of the same kind (new setting max_descriptors, else the operating system's limit). A body is held once for all its sends. Bodies under way to one upstream are bounded at four times maxBodyBytes, at least 64 MiB. Blocks of 128 KiB and more go back to the operating system when they are freed.

Change to an existing test: http1_server_test converts a request's body to a string before it adds to it, because the body's type is now message_body; what it checks is the same.

--- a/libraries/configuration/gateway_settings.cpp
+++ b/libraries/configuration/gateway_settings.cpp
@@ -50,6 +50,8 @@
     settings.memory_bytes =
         bytes_per_mb * static_cast<std::size_t>(table.integer_or(
                            "memory_mb", {.lowest = 32, .highest = 1'048'576}, default_memory_mb));
+    settings.max_descriptors = static_cast<std::size_t>(
+        table.integer_or("max_descriptors", {.lowest = 0, .highest = 1'048'576}, 0));
     table.report_unknown_keys();
 }
 
--- a/libraries/configuration/gateway_settings.hpp
+++ b/libraries/configuration/gateway_settings.hpp
@@ -35,8 +35,11 @@
     duration retry_window{}; ///< Time over which the retry budget counts.
     /// Largest fraction of a region's requests that may move to other regions within two seconds.
     double max_region_shift_share = 0;
-    /// Memory that the process may use, in bytes. A quarter of it may hold incomplete answers.
+    /// Memory that the process may use, in bytes. Half of it may be held for others, and a quarter
+    /// by one incomplete answer.
     std::size_t memory_bytes = 0;
+    /// Descriptors that the process may use; 0 for as many as the operating system allows.
+    std::size_t max_descriptors = 0;
 
     friend bool operator==(gateway_settings const&, gateway_settings const&) = default;
 };
--- a/libraries/http1/client.hpp
+++ b/libraries/http1/client.hpp
@@ -4,10 +4,12 @@
 #include "libraries/core/address.hpp"
 #include "libraries/core/clock.hpp"
 #include "libraries/core/strong_type.hpp"
+#include "libraries/http1/message_body.hpp"
 #include "libraries/http1/message_reader.hpp"
 #include "libraries/net/event_loop.hpp"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -21,7 +23,10 @@
 {
     complete,      ///< The complete answer has arrived.
     not_connected, ///< No connection was made; no byte was sent.
-    broken         ///< Connection lost, or answer timed out, malformed, truncated or too large.
+    broken,        ///< Connection lost, or answer timed out, malformed, truncated or too large.
+    no_room,       ///< No room for a further connection, or for the body at its server; no byte
+                   ///< was sent.
+    answer_dropped ///< This process has no room for the answer, of which a part had arrived.
 };
 
 /// Result of a call.
@@ -31,6 +36,7 @@
     address to;
     message_head head; ///< Set if the call is complete.
     std::string body;
+    std::shared_ptr<memory_charge> charge; ///< For the body; null if it is empty.
     bool on_reused_connection = false;
     bool connection_was_reset = false;
     /// Duration of the TCP connect, about one round trip. Zero on a reused connection.
@@ -44,7 +50,7 @@
     std::string method = "GET";
     std::string target = "/";
     http_headers headers; ///< Without content-length and transfer-encoding.
-    std::string body;
+    message_body body;
     /// Header field that the answer must carry to match this request. An answer without it or with
     /// another value belongs to no request or to another one, and is skipped. An empty name accepts
     /// any answer; with a name, the value must not be empty.
@@ -75,6 +81,8 @@
     /// Maximum size of the incomplete bodies of all calls together. Beyond it, the call with the
     /// largest one is broken.
     std::size_t max_buffered_bytes = std::size_t{64} * 1024 * 1024;
+    /// Maximum size of the request bodies under way to one address. A larger one is sent alone.
+    std::size_t max_sent_bytes_per_address = std::numeric_limits<std::size_t>::max();
     /// A connection that has carried this many calls with an answer id is not reused. It keeps
     /// their ids, so that it never carries two calls with the same one.
     std::size_t max_ids_per_connection = 1'000;
@@ -95,8 +103,11 @@
     /// Answers skipped as belonging to other requests: their `answer_id` header field is missing or
     /// doesn't match the call. Interim answers (status 1xx) don't count.
     std::uint64_t answers_skipped = 0;
-    /// Calls that were broken because their bodies together passed `max_buffered_bytes`.
+    /// Calls that were ended because their bodies together passed `max_buffered_bytes` or found no
+    /// room in the memory budget.
     std::uint64_t answers_dropped_for_memory = 0;
+    /// Calls that weren't started because of `max_sent_bytes_per_address`.
+    std::uint64_t calls_refused_for_bodies = 0;
     std::uint64_t connections_reused = 0;
     /// New connections because none to the address was idle.
     std::uint64_t opened_none_idle = 0;
@@ -111,7 +122,9 @@
 public:
     using result_handler = std::function<void(call_result)>;
 
-    client(event_loop& loop, clock_source const& clock, client_limits limits);
+    /// Without a budget, what the calls hold is bounded by the limits only.
+    client(event_loop& loop, clock_source const& clock, client_limits limits,
+           std::shared_ptr<memory_budget> budget = nullptr);
     ~client();
     client(client const&) = delete;
     client& operator=(client const&) = delete;
@@ -123,6 +136,7 @@
     void cancel(call_number call);
     /// Closes the idle connections to an address, and those in use once their call ends.
     void discard_connections(address const& to);
+    void set_max_sent_bytes_per_address(std::size_t bytes);
 
     client_counters const& counters() const;
 
--- a/libraries/http1/client_connection.cpp
+++ b/libraries/http1/client_connection.cpp
@@ -23,11 +23,11 @@
 } // namespace
 
 client_connection::client_connection(event_loop& loop, clock_source const& clock,
-                                     client_limits const& limits, owner& connection_owner,
-                                     address to)
-    : clock_(clock), limits_(limits), owner_(connection_owner), to_(to), socket_(loop, *this),
-      reader_(message_kind::answers, limits.max_head_bytes, *this), timeout_timer_(loop),
-      call_timer_(loop), keep_alive_time_(limits.idle_timeout)
+                                     client_limits const& limits, memory_budget& budget,
+                                     owner& connection_owner, address to)
+    : clock_(clock), limits_(limits), owner_(connection_owner), to_(to),
+      socket_(loop, *this, budget), reader_(message_kind::answers, limits.max_head_bytes, *this),
+      timeout_timer_(loop), call_timer_(loop), keep_alive_time_(limits.idle_timeout)
 {}
 
 void client_connection::start(call_number call, call_options options)
@@ -35,6 +35,7 @@
     call_ = call;
     options_ = std::move(options);
     result_ = {};
+    answer_charge_ = socket_.make_charge();
     result_.to = to_;
     result_.on_reused_connection = has_ended_a_call_;
     on_any_head_ = options_->on_any_head;
@@ -72,10 +73,8 @@
     if (!options_->body.empty() || method_has_body(options_->method))
         fmt::format_to(std::back_inserter(bytes), "content-length: {}\r\n", options_->body.size());
     bytes += "\r\n";
-    bytes += options_->body;
-    options_->body.clear();
     reader_.set_expects_no_body(options_->method == "HEAD");
-    socket_.write(std::move(bytes));
+    socket_.write(std::move(bytes), std::exchange(options_->body, {}));
     restart_answer_timeout();
 }
 
@@ -100,10 +99,32 @@
     bool const readable = reader_.read(bytes);
     if (!readable && options_)
         end_call(call_end::broken);
+    else if (options_ && !answer_charge_.try_resize(answer_bytes()))
+        drop_answer();
     else if (!options_ && (!readable || got_unrequested_answer_ || reader_.is_inside_message()))
         owner_.on_idle_connection_end(*this);
 }
 
+std::size_t client_connection::answer_bytes() const
+{
+    return result_.body.size() + result_.head.memory_bytes() + reader_.memory_bytes();
+}
+
+void client_connection::drop_answer()
+{
+    owner_.on_answer_dropped();
+    reader_.discard();
+    end_call(call_end::answer_dropped);
+}
+
+void client_connection::on_give_up()
+{
+    if (options_)
+        drop_answer();
+    else
+        owner_.on_idle_connection_end(*this);
+}
+
 bool client_connection::has_carried(http_header const& answer_id) const
 {
     return !answer_id.name.empty() && carried_ids_.contains(hash_of(answer_id.value));
@@ -157,7 +178,7 @@
         end_call(call_end::broken);
         return;
     }
-    result_.body.append(bytes);
+    append_to_body(result_.body, bytes, result_.head.content_length, limits_.max_body_bytes);
     owner_.on_body_growth(*this, bytes.size());
 }
 
@@ -218,6 +239,11 @@
     if (!reusable)
         reader_.stop();
     result_.end = end;
+    if (!result_.body.empty()) {
+        answer_charge_.resize(result_.body.size());
+        result_.charge = std::make_shared<memory_charge>(std::move(answer_charge_));
+    }
+    answer_charge_ = {};
     owner_.on_call_end(*this, std::move(result_), reusable);
 }
 
--- a/libraries/http1/client_connection.hpp
+++ b/libraries/http1/client_connection.hpp
@@ -23,12 +23,14 @@
         /// Called when the connection ends or receives bytes while it carries no call.
         virtual void on_idle_connection_end(client_connection& connection) = 0;
         virtual void on_answer_skipped() = 0;
+        /// Called when there is no room for the answer to the current call, before the call ends.
+        virtual void on_answer_dropped() = 0;
         /// Called when the size of the current call's incomplete body has grown.
         virtual void on_body_growth(client_connection& connection, std::size_t added_bytes) = 0;
     };
 
     client_connection(event_loop& loop, clock_source const& clock, client_limits const& limits,
-                      owner& connection_owner, address to);
+                      memory_budget& budget, owner& connection_owner, address to);
 
     /// Starts a call. Connects first if the connection is new.
     void start(call_number call, call_options options);
@@ -53,12 +55,18 @@
     void on_connected() override;
     void on_bytes(std::string_view bytes) override;
     void on_stream_end(stream_end end) override;
+    /// True while an answer is incomplete, and without a call.
+    bool awaits_peer() const override { return !options_ || answer_charge_.bytes() > 0; }
+    void on_give_up() override;
     void on_head(message_head head) override;
     void on_body(std::string_view bytes) override;
     void on_message_end() override;
 
 private:
     void send_request();
+    /// Memory that the incomplete answer takes.
+    std::size_t answer_bytes() const;
+    void drop_answer();
     void end_call(call_end end);
     void restart_answer_timeout();
     bool is_own_answer(message_head const& head) const;
@@ -75,6 +83,7 @@
     call_number call_;
     std::optional<call_options> options_; ///< Options of the current call; empty while idle.
     call_result result_;
+    memory_charge answer_charge_;                          ///< For the incomplete answer.
     std::function<void(message_head const&)> on_any_head_; ///< From the last call's options.
     std::unordered_set<std::uint64_t> carried_ids_; ///< Hashes of the answer ids of all calls.
     std::size_t call_bytes_ = 0; ///< Bytes that have arrived during the current call.
--- a/libraries/http1/message_reader.cpp
+++ b/libraries/http1/message_reader.cpp
@@ -60,6 +60,15 @@
 
 } // namespace
 
+std::size_t message_head::memory_bytes() const
+{
+    // The list of fields grows to at most twice its size.
+    std::size_t bytes = target.size() + headers.size() * 2 * sizeof(http_header);
+    for (http_header const& each : headers)
+        bytes += each.name.size() + each.value.size();
+    return bytes;
+}
+
 message_reader::message_reader(message_kind kind, std::size_t max_head_bytes,
                                message_listener& listener)
     : listener_(listener), kind_(kind), max_head_bytes_(max_head_bytes)
@@ -214,6 +223,14 @@
     return fault_ == read_fault::none;
 }
 
+void message_reader::discard()
+{
+    stopped_ = true;
+    head_ = {};
+    header_name_ = {};
+    header_value_ = {};
+}
+
 bool message_reader::read_end()
 {
     if (fault_ != read_fault::none)
--- a/libraries/http1/message_reader.hpp
+++ b/libraries/http1/message_reader.hpp
@@ -21,6 +21,9 @@
     http_headers headers;
     std::optional<std::uint64_t> content_length;
     bool keep_alive = false;
+
+    /// Memory that the head takes, rounded up.
+    std::size_t memory_bytes() const;
 };
 
 /// Receives the parts of each message, in order.
@@ -72,6 +75,10 @@
     void stop() { stopped_ = true; }
 
     read_fault fault() const { return fault_; }
+    /// Memory that an incomplete head or trailer takes.
+    std::size_t memory_bytes() const { return head_bytes_ + head_.memory_bytes(); }
+    /// Frees an incomplete head or trailer. Nothing may be read afterwards.
+    void discard();
     /// True if a message has begun and not ended.
     bool is_inside_message() const { return inside_message_; }
 
--- a/libraries/http1/server.cpp
+++ b/libraries/http1/server.cpp
@@ -58,6 +58,8 @@
         return "unreadable";
     case connection_end::aborted:
         return "aborted";
+    case connection_end::given_up:
+        return "given-up";
     }
     return "unknown";
 }
@@ -70,8 +72,10 @@
 
 struct server::state final : server_connection::owner, std::enable_shared_from_this<server::state>
 {
-    state(event_loop& loop, clock_source const& clock, server_limits limits)
-        : loop_(loop), clock_(clock), limits_(limits), time_limit_timer_(loop)
+    state(event_loop& loop, clock_source const& clock, server_limits limits,
+          std::shared_ptr<memory_budget> budget)
+        : loop_(loop), clock_(clock), limits_(limits), budget_(std::move(budget)),
+          time_limit_timer_(loop)
     {}
 
     void on_request(std::shared_ptr<exchange> each) override { handler_(std::move(each)); }
@@ -110,9 +114,16 @@
 
     void accept()
     {
-        auto connection = std::make_unique<server_connection>(loop_, clock_, limits_, *this);
+        bool const has_room = budget_->try_accept_connection();
+        auto connection =
+            std::make_unique<server_connection>(loop_, clock_, limits_, *budget_, *this);
         if (!connection->accept(reinterpret_cast<uv_stream_t*>(listening_handle_)))
             return;
+        // A connection that ends before anything was read tells its caller that nothing has run.
+        if (!has_room) {
+            connection->on_give_up();
+            return;
+        }
         if (closing_after_answers_)
             connection->close_after_answers();
         ++counters_.accepted;
@@ -146,6 +157,7 @@
     event_loop& loop_;
     clock_source const& clock_;
     server_limits limits_;
+    std::shared_ptr<memory_budget> budget_;
     logger log_{"http-server", log_lines_per_second};
     timer time_limit_timer_;
     request_handler handler_;
@@ -156,8 +168,11 @@
     bool closing_after_answers_ = false;
 };
 
-server::server(event_loop& loop, clock_source const& clock, server_limits limits)
-    : state_(std::make_shared<state>(loop, clock, limits))
+server::server(event_loop& loop, clock_source const& clock, server_limits limits,
+               std::shared_ptr<memory_budget> budget)
+    : state_(std::make_shared<state>(
+          loop, clock, limits,
+          budget ? std::move(budget) : std::make_shared<memory_budget>(memory_budget_options{})))
 {}
 
 server::~server()
--- a/libraries/http1/server.hpp
+++ b/libraries/http1/server.hpp
@@ -4,6 +4,7 @@
 #include "libraries/core/address.hpp"
 #include "libraries/core/clock.hpp"
 #include "libraries/core/error.hpp"
+#include "libraries/http1/message_body.hpp"
 #include "libraries/http1/message_reader.hpp"
 #include "libraries/net/event_loop.hpp"
 
@@ -32,7 +33,8 @@
 struct server_request
 {
     message_head head;
-    std::string body;
+    message_body body;
+    memory_charge head_charge;
 };
 
 /// A complete answer. Content-Length and Connection are added when it is written.
@@ -51,10 +53,11 @@
     idle,             ///< It carried no request for longer than the idle timeout.
     answered,         ///< After the last answer, as that answer's Connection header told.
     unreadable,       ///< The caller sent something that is not an acceptable request.
-    aborted           ///< This server gave it up.
+    aborted,          ///< This server ended it.
+    given_up          ///< Its caller was slow, and what it held was needed for others.
 };
 
-constexpr std::size_t connection_end_count = static_cast<std::size_t>(connection_end::aborted) + 1;
+constexpr std::size_t connection_end_count = static_cast<std::size_t>(connection_end::given_up) + 1;
 /// The name of a connection's end in logs and metrics, such as "closed-by-caller".
 char const* name_of(connection_end end);
 
@@ -98,6 +101,7 @@
     server_connection* connection_;
     server_request request_;
     std::optional<server_answer> answer_;
+    memory_charge answer_charge_;
     std::function<void(connection_end)> disconnect_handler_;
 };
 
@@ -107,7 +111,9 @@
 public:
     using request_handler = std::function<void(std::shared_ptr<exchange>)>;
 
-    server(event_loop& loop, clock_source const& clock, server_limits limits);
+    /// Without a budget, what the connections hold is bounded by the limits only.
+    server(event_loop& loop, clock_source const& clock, server_limits limits,
+           std::shared_ptr<memory_budget> budget = nullptr);
     ~server();
     server(server const&) = delete;
     server& operator=(server const&) = delete;
--- a/libraries/http1/server_connection.cpp
+++ b/libraries/http1/server_connection.cpp
@@ -17,6 +17,9 @@
 /// connection.
 constexpr duration max_request_read_time = std::chrono::seconds(30);
 
+/// When a caller whose request found no room may ask again.
+constexpr int no_room_retry_after_s = 1;
+
 bool status_allows_body(int status)
 {
     return status >= 200 && status != 204 && status != 304;
@@ -32,9 +35,11 @@
 } // namespace
 
 server_connection::server_connection(event_loop& loop, clock_source const& clock,
-                                     server_limits const& limits, owner& connection_owner)
-    : clock_(clock), limits_(limits), owner_(connection_owner), socket_(loop, *this),
-      reader_(message_kind::requests, limits.max_head_bytes, *this), last_activity_at_(clock.now()),
+                                     server_limits const& limits, memory_budget& budget,
+                                     owner& connection_owner)
+    : clock_(clock), limits_(limits), owner_(connection_owner), socket_(loop, *this, budget),
+      reader_(message_kind::requests, limits.max_head_bytes, *this),
+      partial_charge_(socket_.make_charge()), last_activity_at_(clock.now()),
       idle_timeout_at_answer_(limits.idle_timeout)
 {}
 
@@ -56,15 +61,14 @@
 
 void server_connection::on_head(message_head head)
 {
-    partial_request_ = {.head = std::move(head), .body = {}};
-    bool const too_large =
-        partial_request_.head.content_length.value_or(0) > limits_.max_body_bytes;
-    if (too_large) {
+    partial_head_ = std::move(head);
+    partial_body_ = {};
+    if (partial_head_.content_length.value_or(0) > limits_.max_body_bytes) {
         stop_reading_with_error(413);
         return;
     }
     // Sent immediately, so that the caller doesn't wait: the length check above has passed.
-    if (partial_request_.head.headers.find("expect") == "100-continue")
+    if (partial_head_.headers.find("expect") == "100-continue")
         socket_.write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
@@ -72,24 +76,50 @@
 {
     if (error_status_ != 0)
         return;
-    if (partial_request_.body.size() + bytes.size() > limits_.max_body_bytes) {
+    if (partial_body_.size() + bytes.size() > limits_.max_body_bytes) {
         stop_reading_with_error(413);
         return;
     }
-    partial_request_.body.append(bytes);
+    append_to_body(partial_body_, bytes, partial_head_.content_length, limits_.max_body_bytes);
+}
+
+bool server_connection::try_charge_partial_request()
+{
+    return partial_charge_.try_resize(partial_head_.memory_bytes() + partial_body_.size() +
+                                      reader_.memory_bytes());
+}
+
+void server_connection::discard_partial_request()
+{
+    partial_head_ = {};
+    partial_body_ = std::string();
+    partial_charge_.resize(0);
+    reader_.discard();
 }
 
 void server_connection::on_message_end()
 {
     if (connection_ended_ || error_status_ != 0)
         return;
+    if (!try_charge_partial_request()) {
+        stop_reading_with_error(503);
+        return;
+    }
+    // Making room may have ended other connections, and their requests this one's.
+    if (connection_ended_)
+        return;
     // Later requests are neither read nor run; the caller sends them again on a new connection.
-    if (!partial_request_.head.keep_alive ||
-        unanswered_exchanges_.size() + 1 >= limits_.max_pipelined) {
+    if (!partial_head_.keep_alive || unanswered_exchanges_.size() + 1 >= limits_.max_pipelined) {
         closing_after_answers_ = true;
         reader_.stop();
     }
-    auto const each = std::make_shared<exchange>(this, std::exchange(partial_request_, {}));
+    memory_charge body_charge = partial_charge_.split(partial_body_.size());
+    memory_charge head_charge = std::exchange(partial_charge_, socket_.make_charge());
+    auto const each = std::make_shared<exchange>(
+        this, server_request{
+                  .head = std::exchange(partial_head_, {}),
+                  .body = message_body(std::exchange(partial_body_, {}), std::move(body_charge)),
+                  .head_charge = std::move(head_charge)});
     unanswered_exchanges_.push_back(each);
     owner_.on_request(each);
 }
@@ -104,6 +134,8 @@
     bool const readable = reader_.read(bytes);
     if (!readable && error_status_ == 0)
         stop_reading_with_error(reader_.fault() == read_fault::head_too_large ? 431 : 400);
+    if (!connection_ended_ && error_status_ == 0 && !try_charge_partial_request())
+        stop_reading_with_error(503);
     if (error_status_ != 0)
         write_ready_answers();
 }
@@ -111,7 +143,25 @@
 void server_connection::stop_reading_with_error(int status)
 {
     error_status_ = status;
-    reader_.stop();
+    discard_partial_request();
+}
+
+void server_connection::on_give_up()
+{
+    bool const refuses_request = reader_.is_inside_message() && error_status_ == 0 &&
+                                 unanswered_exchanges_.empty() && socket_.unsent_bytes() == 0;
+    if (!connection_ended_ && refuses_request)
+        write_error(503);
+    end_connection(connection_end::given_up);
+}
+
+void server_connection::write_error(int status)
+{
+    std::string head = fmt::format("HTTP/1.1 {} {}\r\nContent-Length: 0\r\nConnection: close\r\n",
+                                   status, reason_phrase(status));
+    if (status == 503)
+        fmt::format_to(std::back_inserter(head), "Retry-After: {}\r\n", no_room_retry_after_s);
+    socket_.write(head + "\r\n");
 }
 
 void server_connection::on_stream_end(stream_end end)
@@ -138,24 +188,24 @@
     }
     if (connection_ended_ || error_status_ == 0 || !unanswered_exchanges_.empty())
         return;
-    socket_.write(fmt::format("HTTP/1.1 {} {}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-                              error_status_, reason_phrase(error_status_)));
+    write_error(error_status_);
     end_connection(connection_end::unreadable);
 }
 
 void server_connection::write_answer(exchange& ready_exchange, bool closes_connection)
 {
     server_answer& answer = *ready_exchange.answer_;
-    std::string bytes =
+    std::string head =
         fmt::format("HTTP/1.1 {} {}\r\n", answer.status, reason_phrase(answer.status));
     for (http_header const& each : answer.headers)
-        fmt::format_to(std::back_inserter(bytes), "{}: {}\r\n", each.name, each.value);
+        fmt::format_to(std::back_inserter(head), "{}: {}\r\n", each.name, each.value);
     if (status_allows_body(answer.status))
-        fmt::format_to(std::back_inserter(bytes), "Content-Length: {}\r\n", answer.body.size());
-    bytes += closes_connection ? "Connection: close\r\n\r\n" : "\r\n";
+        fmt::format_to(std::back_inserter(head), "Content-Length: {}\r\n", answer.body.size());
+    head += closes_connection ? "Connection: close\r\n\r\n" : "\r\n";
+    message_body body;
     if (status_allows_body(answer.status) && ready_exchange.request_.head.method != "HEAD")
-        bytes += answer.body;
-    socket_.write(std::move(bytes));
+        body = message_body(std::move(answer.body), std::move(ready_exchange.answer_charge_));
+    socket_.write(std::move(head), std::move(body));
 }
 
 void server_connection::abort()
@@ -196,7 +246,7 @@
         socket_.close_gracefully(owner_.reader_after_end(end));
     else
         socket_.close();
-    reader_.stop();
+    discard_partial_request();
     auto const unanswered = std::exchange(unanswered_exchanges_, {});
     for (auto const& each : unanswered)
         each->connection_ = nullptr;
@@ -212,6 +262,8 @@
     if (answer_ || connection_ == nullptr)
         return;
     answer_ = std::move(answer);
+    answer_charge_ = connection_->socket_.make_charge();
+    answer_charge_.resize(answer_->body.size());
     disconnect_handler_ = nullptr;
     connection_->write_ready_answers();
 }
--- a/libraries/http1/server_connection.hpp
+++ b/libraries/http1/server_connection.hpp
@@ -26,7 +26,7 @@
     };
 
     server_connection(event_loop& loop, clock_source const& clock, server_limits const& limits,
-                      owner& connection_owner);
+                      memory_budget& budget, owner& connection_owner);
     ~server_connection() override;
     server_connection(server_connection const&) = delete;
     server_connection& operator=(server_connection const&) = delete;
@@ -48,8 +48,17 @@
     void on_message_end() override;
     void on_bytes(std::string_view bytes) override;
     void on_stream_end(stream_end end) override;
+    bool awaits_peer() const override { return unanswered_exchanges_.empty(); }
+    /// Refuses a request that is being received, and closes the connection.
+    void on_give_up() override;
 
 private:
+    friend class exchange;
+
+    /// Charges what the incomplete request takes. Returns false if there is no room for it.
+    bool try_charge_partial_request();
+    void discard_partial_request();
+    void write_error(int status);
     void write_answer(exchange& answered_exchange, bool closes_connection);
     void stop_reading_with_error(int status);
     void end_connection(connection_end end);
@@ -59,7 +68,9 @@
     owner& owner_;
     stream_socket socket_;
     message_reader reader_;
-    server_request partial_request_;
+    message_head partial_head_;
+    std::string partial_body_;
+    memory_charge partial_charge_;
     std::deque<std::shared_ptr<exchange>> unanswered_exchanges_;
     time_point last_activity_at_;
     duration idle_timeout_at_answer_; ///< Limit when the last answer was written.
--- a/libraries/http1/stream_socket.cpp
+++ b/libraries/http1/stream_socket.cpp
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -47,6 +48,22 @@
     return errno == EAGAIN || errno == EINTR ? peeked_input::none : peeked_input::failure;
 }
 
+using write_buffers = std::array<uv_buf_t, 2>;
+
+uv_buf_t buffer_after(std::string_view bytes, std::size_t sent_bytes)
+{
+    std::string_view const rest = bytes.substr(std::min(sent_bytes, bytes.size()));
+    // libuv doesn't change what it writes.
+    return uv_buf_init(const_cast<char*>(rest.data()), static_cast<unsigned>(rest.size()));
+}
+
+/// The parts of the head and the body that are not sent yet.
+write_buffers unsent_buffers(std::string_view head, std::string_view body, std::size_t sent_bytes)
+{
+    std::size_t const sent_body_bytes = sent_bytes - std::min(sent_bytes, head.size());
+    return {buffer_after(head, sent_bytes), buffer_after(body, sent_body_bytes)};
+}
+
 bool is_failure(int status)
 {
     return status < 0 && status != UV_EAGAIN && status != UV_ECANCELED;
@@ -67,12 +84,25 @@
 struct stream_socket::write_request
 {
     uv_write_t request{};
-    std::string bytes;
+    std::string head;
+    message_body body;
     state* owner = nullptr; ///< Outlives the request: closing cancels it.
 };
 
-struct stream_socket::state
+struct stream_socket::state final : memory_holder
 {
+    state(event_loop& loop, stream_listener& new_listener, memory_budget& budget)
+        : listener(&new_listener), account(budget.open_account(*this)), connection_charge(account)
+    {
+        connection_charge.resize(memory_budget::connection_bytes);
+        handle.data = this;
+        uv_tcp_init(loop.raw(), &handle);
+    }
+
+    ~state() override { account->detach(); }
+    state(state const&) = delete;
+    state& operator=(state const&) = delete;
+
     uv_tcp_t handle{};
     uv_connect_t connect_request{};
     stream_listener* listener = nullptr;
@@ -84,6 +114,29 @@
     /// The operating system reports a broken connection to one operation only, and an orderly end
     /// to those after it.
     bool has_failed = false;
+    std::uint64_t read_bytes = 0; ///< Without those after `close_gracefully`.
+    std::uint64_t written_bytes = 0;
+    std::shared_ptr<memory_account> account;
+    memory_charge connection_charge;
+
+    std::uint64_t moved_bytes() const override
+    {
+        return read_bytes + written_bytes - handle.write_queue_size;
+    }
+
+    bool awaits_peer() const override
+    {
+        return !handle_is_closing &&
+               (listener == nullptr || handle.write_queue_size > 0 || listener->awaits_peer());
+    }
+
+    void give_up() override
+    {
+        if (listener == nullptr)
+            close();
+        else
+            listener->on_give_up();
+    }
 
     /// Returns how the stream has ended when a read finds no more bytes.
     stream_end end_after_read(ssize_t read_status)
@@ -103,12 +156,9 @@
     }
 };
 
-stream_socket::stream_socket(event_loop& loop, stream_listener& listener) : state_(new state)
-{
-    state_->handle.data = state_;
-    state_->listener = &listener;
-    uv_tcp_init(loop.raw(), &state_->handle);
-}
+stream_socket::stream_socket(event_loop& loop, stream_listener& listener, memory_budget& budget)
+    : state_(new state(loop, listener, budget))
+{}
 
 stream_socket::~stream_socket()
 {
@@ -156,6 +206,7 @@
                 report_end(read_state, read_state->end_after_read(size));
                 return;
             }
+            read_state->read_bytes += static_cast<std::uint64_t>(size);
             read_state->listener->on_bytes(
                 std::string_view(buffer->base, static_cast<std::size_t>(size)));
         });
@@ -192,38 +243,46 @@
     return true;
 }
 
-void stream_socket::write(std::string bytes)
+void stream_socket::write(std::string head, message_body body)
 {
     if (state_ == nullptr)
         return;
     auto* const stream = reinterpret_cast<uv_stream_t*>(&state_->handle);
+    std::size_t const total_bytes = head.size() + body.size();
+    state_->written_bytes += total_bytes;
     std::size_t sent_bytes = 0;
     if (state_->handle.write_queue_size == 0) {
-        uv_buf_t const buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
-        int const accepted_bytes = uv_try_write(stream, &buffer, 1);
+        write_buffers const buffers = unsent_buffers(head, body, 0);
+        int const accepted_bytes =
+            uv_try_write(stream, buffers.data(), static_cast<unsigned>(buffers.size()));
         state_->has_failed = state_->has_failed || is_failure(accepted_bytes);
         sent_bytes = accepted_bytes > 0 ? static_cast<std::size_t>(accepted_bytes) : 0;
     }
-    if (sent_bytes == bytes.size())
+    if (sent_bytes == total_bytes)
         return;
-    auto* const request =
-        new write_request{.request = {}, .bytes = bytes.substr(sent_bytes), .owner = state_};
+    auto* const request = new write_request{
+        .request = {}, .head = std::move(head), .body = std::move(body), .owner = state_};
     request->request.data = request;
-    uv_buf_t const buffer =
-        uv_buf_init(request->bytes.data(), static_cast<unsigned>(request->bytes.size()));
+    write_buffers const buffers = unsent_buffers(request->head, request->body, sent_bytes);
     int const started =
-        uv_write(&request->request, stream, &buffer, 1, [](uv_write_t* done, int status) {
-            auto* const ended = static_cast<write_request*>(done->data);
-            // The read callback reports the end.
-            ended->owner->has_failed = ended->owner->has_failed || is_failure(status);
-            delete ended;
-        });
+        uv_write(&request->request, stream, buffers.data(), static_cast<unsigned>(buffers.size()),
+                 [](uv_write_t* done, int status) {
+                     auto* const ended = static_cast<write_request*>(done->data);
+                     // The read callback reports the end.
+                     ended->owner->has_failed = ended->owner->has_failed || is_failure(status);
+                     delete ended;
+                 });
     if (started != 0) {
         state_->has_failed = true;
         delete request;
     }
 }
 
+memory_charge stream_socket::make_charge() const
+{
+    return state_ == nullptr ? memory_charge() : memory_charge(state_->account);
+}
+
 std::size_t stream_socket::unsent_bytes() const
 {
     return state_ == nullptr ? 0 : state_->handle.write_queue_size;
--- a/libraries/http1/stream_socket.hpp
+++ b/libraries/http1/stream_socket.hpp
@@ -3,6 +3,7 @@
 
 #include "libraries/core/address.hpp"
 #include "libraries/core/clock.hpp"
+#include "libraries/http1/message_body.hpp"
 #include "libraries/net/event_loop.hpp"
 
 #include <functional>
@@ -28,6 +29,10 @@
     virtual void on_connected() {}
     virtual void on_bytes(std::string_view bytes) = 0;
     virtual void on_stream_end(stream_end end) = 0;
+    /// True if the peer has to act next, as far as the listener knows.
+    virtual bool awaits_peer() const { return false; }
+    /// Called when the peer is slow and its connection is needed for others: it must be closed.
+    virtual void on_give_up() = 0;
 };
 
 /// A connected or connecting TCP socket. Destroying it closes the socket immediately, unless
@@ -35,7 +40,8 @@
 class stream_socket
 {
 public:
-    stream_socket(event_loop& loop, stream_listener& listener);
+    /// The connection and what it holds are charged to the budget.
+    stream_socket(event_loop& loop, stream_listener& listener, memory_budget& budget);
     ~stream_socket();
     stream_socket(stream_socket const&) = delete;
     stream_socket& operator=(stream_socket const&) = delete;
@@ -46,7 +52,9 @@
     void connect(address const& to, duration unacknowledged_timeout);
     /// Accepts a connection from a listening handle. Returns false if there is none to accept.
     bool accept(uv_stream_t* listening_handle, duration unacknowledged_timeout);
-    void write(std::string bytes);
+    void write(std::string head, message_body body = {});
+    /// Returns an empty charge for bytes that are held for the peer.
+    memory_charge make_charge() const;
     /// Number of written bytes that the operating system hasn't accepted yet.
     std::size_t unsent_bytes() const;
     /// True if bytes have arrived, or the peer has closed its side, and the listener doesn't know
--- a/services/burdockstep_gateway/lookups/lookups_task.cpp
+++ b/services/burdockstep_gateway/lookups/lookups_task.cpp
@@ -20,9 +20,9 @@
 lookups_task::lookups_task(gateway_context& context, http_dialect const& dialect,
                            std::function<std::string()> metrics)
     : context_(context), dialect_(dialect), collect_metrics_(std::move(metrics)),
-      readiness_server_(context.loop, context.clock, {}),
-      lookups_server_(context.loop, context.clock, {}),
-      metrics_server_(context.loop, context.clock, {})
+      readiness_server_(context.loop, context.clock, {}, context.budgets.operators),
+      lookups_server_(context.loop, context.clock, {}, context.budgets.callers),
+      metrics_server_(context.loop, context.clock, {}, context.budgets.operators)
 {}
 
 result<void> lookups_task::try_start()
--- a/services/burdockstep_gateway/main.cpp
+++ b/services/burdockstep_gateway/main.cpp
@@ -9,6 +9,8 @@
 
 #include <boost/program_options.hpp>
 
+#include <malloc.h>
+
 #include <cstdlib>
 #include <iostream>
 #include <optional>
@@ -21,6 +23,9 @@
 /// Environment variable with the path of the settings file, used if `--settings` is not given.
 constexpr char const* settings_environment_variable = "BURDOCKSTEP_BOOT";
 constexpr int exit_usage = 2;
+/// Blocks of this size and more go back to the operating system when they are freed. Unless it is
+/// set, the limit grows with the blocks, and the memory of large bodies stays with the process.
+constexpr int min_returned_block_bytes = 128 * 1024;
 
 std::optional<gateway_settings> load_settings(std::string const& path)
 {
@@ -41,6 +46,7 @@
 int run_gateway(gateway_settings settings, std::string const& path)
 {
     logger::set_buffered(true);
+    mallopt(M_MMAP_THRESHOLD, min_returned_block_bytes);
     event_loop loop;
     system_clock_source const clock;
     random_source random(system_seed());
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -15,13 +15,18 @@
 /// After the process was suspended, requests wait for the registry to be read again, but no longer
 /// than this.
 constexpr duration max_suspension = std::chrono::milliseconds(1'500);
-/// Incomplete answers may take this part of the process's memory.
-constexpr std::size_t answer_buffer_divisor = 4;
+/// One incomplete answer may take this part of the process's memory.
+constexpr std::size_t answer_memory_divisor = 4;
 /// At most this many requests that are cut by the end of the process get a line in the log.
 constexpr std::size_t max_logged_cut_requests = 20;
+constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr std::size_t max_request_body_bytes = std::size_t{64} * 1024 * 1024;
 
+/// Bodies under way to one upstream: as many largest ones, or at least so many bytes.
+constexpr std::size_t max_largest_bodies_per_upstream = 4;
+constexpr std::size_t min_body_bytes_per_upstream = std::size_t{64} * 1024 * 1024;
+
 forwarding_options make_forwarding_options(gateway_settings const& settings)
 {
     forwarding_options options;
@@ -40,8 +45,10 @@
 http1::client_limits make_client_limits(gateway_settings const& settings)
 {
     http1::client_limits limits;
-    limits.max_buffered_bytes = settings.memory_bytes / answer_buffer_divisor;
-    limits.max_body_bytes = std::min(limits.max_body_bytes, limits.max_buffered_bytes);
+    // The memory budget, which is smaller, bounds what all calls hold together.
+    limits.max_buffered_bytes = settings.memory_bytes;
+    limits.max_body_bytes =
+        std::min(limits.max_body_bytes, settings.memory_bytes / answer_memory_divisor);
     return limits;
 }
 
@@ -50,10 +57,11 @@
 requests_task::requests_task(gateway_context& context, http_dialect const& dialect)
     : context_(context), dialect_(dialect),
       engine_(make_forwarding_options(context.settings), context.random),
-      upstream_client_(context.loop, context.clock, make_client_limits(context.settings)),
-      caller_server_(context.loop, context.clock, {}), engine_tick_timer_(context.loop),
-      maintenance_timer_(context.loop), own_region_report_timer_(context.loop),
-      other_regions_report_timer_(context.loop)
+      upstream_client_(context.loop, context.clock, make_client_limits(context.settings),
+                       context.budgets.callers),
+      caller_server_(context.loop, context.clock, {}, context.budgets.callers),
+      engine_tick_timer_(context.loop), maintenance_timer_(context.loop),
+      own_region_report_timer_(context.loop), other_regions_report_timer_(context.loop)
 {}
 
 result<void> requests_task::try_start()
@@ -133,6 +141,10 @@
                                        http1::call_result result)
 {
     active_sends_.erase(id);
+    if (result.end == http1::call_end::answer_dropped) {
+        end_without_room(id, result);
+        return;
+    }
     if (result.connect_time > duration::zero())
         engine_.record_round_trip(upstream, result.connect_time);
     send_end_report report;
@@ -144,8 +156,14 @@
         report.result = send_result::not_connected;
         break;
     case http1::call_end::broken:
+    case http1::call_end::answer_dropped:
         report.result = send_result::broken;
         break;
+    case http1::call_end::no_room:
+        // As if the upstream had no room: the request hasn't run, and nothing is wrong there.
+        report.result = send_result::shed;
+        report.status = status_unavailable;
+        break;
     }
     if (result.end == http1::call_end::broken && result.on_reused_connection)
         upstream_client_.discard_connections(result.to);
@@ -168,6 +186,21 @@
     current_answer_ = {};
 }
 
+void requests_task::end_without_room(request_id id, http1::call_result const& result)
+{
+    time_point const now = context_.clock.now();
+    auto const exchange = exchanges_.extract(id);
+    execute(engine_.handle_caller_disconnect(id, now));
+    // A request that isn't idempotent stays under way without its caller: its answer has come.
+    execute(engine_.handle_send_end(id, dialect_.read_answer(result.head), now));
+    if (exchange.empty())
+        return;
+    http1::exchange& http_exchange = *exchange.mapped();
+    http_exchange.reply(
+        dialect_.gateway_answer(http_exchange.request().head, status_bad_gateway, std::nullopt));
+    log_request_end(id, "answer-dropped", status_bad_gateway);
+}
+
 void requests_task::execute(cancel_request_send const& command)
 {
     auto const found = active_sends_.find(command.id);
@@ -187,6 +220,7 @@
     request_latencies_.add(engine_.last_finished().total_time);
     hold_times_.add(engine_.last_finished().hold_time);
     int const status = current_answer_.head.status;
+    current_answer_.charge.reset(); // From here on the caller's connection is charged.
     exchange->reply({.status = status,
                      .headers = dialect_.caller_headers(current_answer_.head),
                      .body = std::move(current_answer_.body)});
@@ -377,6 +411,8 @@
          .max_body_bytes = std::min(limits.body_bytes, max_request_body_bytes),
          .request_stall_timeout = limits.head_timeout,
          .idle_timeout = limits.idle_timeout});
+    upstream_client_.set_max_sent_bytes_per_address(
+        std::max(max_largest_bodies_per_upstream * limits.body_bytes, min_body_bytes_per_upstream));
     execute(engine_.update_document(applied_document.document, context_.clock.now()));
 }
 
@@ -468,6 +504,7 @@
     write_metric("upstream_answers_skipped_total", connections.answers_skipped);
     write_metric("upstream_answers_dropped_for_memory_total",
                  connections.answers_dropped_for_memory);
+    write_metric("upstream_bodies_held_back_total", connections.calls_refused_for_bodies);
     write_metric("caller_connections", caller_server_.open_connections());
     http1::server_counters const& callers = caller_server_.counters();
     write_metric("caller_connections_accepted_total", callers.accepted);
--- a/services/burdockstep_gateway/requests/requests_task.hpp
+++ b/services/burdockstep_gateway/requests/requests_task.hpp
@@ -47,6 +47,8 @@
     void execute(announce_upstream_leaving const& command);
     void handle_send_result(request_id id, upstream_name const& upstream,
                             http1::call_result result);
+    /// Ends a request whose answer arrived in part and found no room. The upstream isn't at fault.
+    void end_without_room(request_id id, http1::call_result const& result);
     void handle_probe_result(upstream_name const& upstream, upstream_incarnation incarnation,
                              http1::call_result const& result);
     /// Returns a function that reads what an upstream says of itself in the head of any answer on a
--- a/services/burdockstep_gateway/supervisor.cpp
+++ b/services/burdockstep_gateway/supervisor.cpp
@@ -2,6 +2,7 @@
 
 #include "services/burdockstep_gateway/discovery/discovery_task.hpp"
 #include "services/burdockstep_gateway/lookups/lookups_task.hpp"
+#include "services/burdockstep_gateway/memory/memory_task.hpp"
 #include "services/burdockstep_gateway/peers/peers_task.hpp"
 #include "services/burdockstep_gateway/requests/requests_task.hpp"
 
@@ -68,7 +69,8 @@
                .post =
                    [this](event new_event) {
                        loop_.post([this, new_event = std::move(new_event)] { deliver(new_event); });
-                   }},
+                   },
+               .budgets = make_gateway_budgets(settings)},
       housekeeping_timer_(loop), stop_timer_(loop)
 {
     for (uv_signal_t* const signal_handle :
@@ -88,6 +90,7 @@
 result<void> supervisor::try_start(discovery_store& store_client, http_dialect const& dialect)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    tasks_.add(std::make_unique<memory_task>(context_));
     tasks_.add(std::make_unique<requests_task>(context_, dialect));
     tasks_.add(
         std::make_unique<lookups_task>(context_, dialect, [this] { return tasks_.metrics(); }));
--- a/tests/unit/http1_server_test.cpp
+++ b/tests/unit/http1_server_test.cpp
@@ -227,7 +227,8 @@
 TEST(http1_server, bodies_with_a_length_or_chunks_arrive_complete)
 {
     listen([](http1::exchange& each) {
-        each.reply({.status = 200, .headers = {}, .body = "<" + each.request().body + ">"});
+        each.reply(
+            {.status = 200, .headers = {}, .body = "<" + std::string(each.request().body) + ">"});
     });
     std::string const answers = send_and_run_loop(
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
