--- a/libraries/configuration/gateway_settings.hpp
+++ b/libraries/configuration/gateway_settings.hpp
@@ -38,10 +38,13 @@
     double max_region_shift_share = 0;
     /// Longest time for which a withdrawn key may still be acted on; zero: no limit.
     duration key_revocation_limit{};
-    /// Memory that the process may use, in bytes. A quarter of it may hold incomplete answers.
-    std::size_t memory_bytes = 0;
     /// What the machine's processor and link can carry, told to the other entries.
     entry_capacity capacity;
+    /// Memory that the process may use, in bytes. Half of it may be held for others, and a quarter
+    /// by one incomplete answer.
+    std::size_t memory_bytes = 0;
+    /// Descriptors that the process may use; 0 for as many as the operating system allows.
+    std::size_t max_descriptors = 0;
 
     friend bool operator==(gateway_settings const&, gateway_settings const&) = default;
 };
