forwarding: upstreams that start or come back are paced, and cold ones have one sender

A cold upstream got four fifths of its rate from one entry, and each entry chose that one from the entries that it knew itself. An entry that had just started knew none of the others and took itself for the sender; entries cut off from each other each had one. A started upstream that wasn't cold any more, or never said so, got requests up to all its slots at once, and one that came back from an ejection or a pause too.

Change. cold_sender_choice chooses the sender. An entry sends nothing to cold upstreams for two seconds after its start, one that has gone keeps its place for as long, and for half a minute after entries have gone their part of the rate is left to them: those that can't be reached may still send. upstream_pace limits the requests under way at an upstream that started, became cold, came back from an ejection, a pause or an evacuation, or was slow for a while: it doubles while the answers hold to what the service takes, or to the upstream's own best, halves at once for slower answers, rejections and failures, and then grows by one. A steady upstream isn't limited. The limit applies to the requests of all entries, which slot reports already tell; no message is added.

Shares of the cold rate for each entry need no choice, but a share of a few requests a second among hundreds of entries is nothing; agreement on the sender needs a service that we don't run.

The price: after half of the entries have ended, a cold upstream gets half of its rate for half a minute.

Free room of paced upstreams is now noted with each maintenance.

--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -124,8 +124,10 @@
     service_time_estimate& estimate =
         request.object_is_recent ? pool.recent_object_service_time : pool.new_object_service_time;
     if (estimate.median() > duration::zero()) {
-        tracker->record_service_time_ratio(static_cast<double>(service_time.count()) /
-                                           static_cast<double>(estimate.median().count()));
+        double const ratio = static_cast<double>(service_time.count()) /
+                             static_cast<double>(estimate.median().count());
+        tracker->record_service_time_ratio(ratio, request.sent_at, now);
+        watch_pace(*tracker);
     }
     estimate.add_sample(std::max(service_time, duration(1)));
 }
@@ -265,6 +267,7 @@
     if (notice.retry_after) {
         ++counters_.pause_notices;
         found->second.record_requested_pause(*notice.retry_after, now);
+        watch_pace(found->second);
     }
     if (leaves_now || notice.retry_after)
         refuse_hopeless_waiting(found->second.known().registration.service, now, out);
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -78,6 +78,7 @@
 forwarding_engine::forwarding_engine(forwarding_options options, random_source& random)
     : options_(std::move(options)), random_(random), admission_(options_.admission, random),
       stop_admission_(options_.stop_admission), key_trust_(options_.key_trust),
+      cold_senders_(options_.cold_sender, options_.instance),
       region_share_(options_.region_shift_limits),
       place_round_trip_(options_.default_place_round_trip)
 {}
@@ -146,6 +147,8 @@
                                     time_point now)
 {
     commands out;
+    if (!first_upstreams_at_ && !upstreams.empty())
+        first_upstreams_at_ = now;
     for (auto& [service, pool] : pools_)
         pool.upstreams.clear();
     trackers_by_key_.clear();
@@ -160,8 +163,7 @@
         upstream_tracker& tracker = inserted->second;
         if (is_new)
             update_slot_precedence(tracker, own_region_entries_, {});
-        else
-            tracker.update(known);
+        update_tracker(tracker, known, is_new, now);
         if (!known.removed)
             pools_[known.registration.service].upstreams.push_back(&tracker);
     }
@@ -186,6 +188,7 @@
             peer_counts_.forget(name);
     }
     entries_ = entries;
+    cold_senders_are_outdated_ = true;
     own_region_entries_.clear();
     for (auto const& [name, region] : entries_) {
         if (region == options_.region)
@@ -393,6 +396,8 @@
     if (now >= next_maintenance_) {
         next_maintenance_ = now + maintenance_interval;
         peer_counts_.expire(now, slot_report_lifetime);
+        update_cold_senders(now);
+        update_paces(now);
         for (auto& [service, pool] : pools_) {
             if (pool.spill.is_step_due(now))
                 pool.spill.step(now, free_slot_fraction(service, false, now),
@@ -450,6 +455,7 @@
         return out;
     }
     found->second.record_probe(report, now);
+    watch_pace(found->second);
     if (report.is_other_instance)
         mark_leaving(found->second, out);
     if (report.healthy)
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -5,6 +5,7 @@
 #include "libraries/discovery/upstream_registry.hpp"
 #include "libraries/dispatch/reported_slot_usage.hpp"
 #include "libraries/forwarding/admission.hpp"
+#include "libraries/forwarding/cold_sender_choice.hpp"
 #include "libraries/forwarding/forwarding_messages.hpp"
 #include "libraries/forwarding/stop_admission.hpp"
 #include "libraries/forwarding/upstream_tracker.hpp"
@@ -34,6 +35,7 @@
     place_name place;
     region_name region;
     upstream_tracker_options tracker_options;
+    cold_sender_options cold_sender;
     admission_options admission;
     stop_admission_options stop_admission;
     outbound_fraction_limiter_options region_shift_limits;
@@ -50,6 +52,11 @@
     /// A free slot is left to the entries with precedence over this one for this time each, because
     /// it takes a few milliseconds until the report of a taken slot arrives here.
     duration slot_precedence_delay = std::chrono::milliseconds(7);
+    /// An upstream that this entry learns of within this time after its first ones may have run for
+    /// long. One that comes later has just started, and is paced.
+    duration upstream_discovery_time = std::chrono::seconds(3);
+    /// Changes of upstreams' paces that are kept until they are taken, for the log.
+    std::size_t max_pace_changes = 64;
     /// An entry that knows no other entry this long after its first request assumes that there is
     /// none.
     duration entry_discovery_timeout = std::chrono::seconds(3);
@@ -76,6 +83,7 @@
     std::uint64_t leaving_notices = 0; ///< Upstreams whose own answer first told that they leave.
     std::uint64_t pause_notices = 0;   ///< Answers in which an upstream asked for a pause.
     std::uint64_t sends_of_recent_objects = 0; ///< Sends of an object that the upstream had lately.
+    std::uint64_t held_back_by_pace = 0; ///< Times an upstream was passed over for its pace alone.
     std::array<std::uint64_t, send_result_count> send_ends{}; ///< Ends of sends by `send_result`.
     std::array<std::uint64_t, refusal_count> refusals{};      ///< Own answers by `refusal`.
 };
@@ -88,6 +96,13 @@
     duration new_object{};    ///< Of other requests.
 };
 
+/// A change of the pace of one upstream, for its log line.
+struct upstream_pace_change
+{
+    upstream_name upstream;
+    pace_change change;
+};
+
 /// Data of a finished request for its log line.
 struct request_summary
 {
@@ -193,6 +208,10 @@
     std::vector<request_under_way> oldest_requests_under_way(std::size_t max_requests,
                                                              time_point now) const;
     forwarding_counters const& counters() const { return counters_; }
+    /// Number of upstreams whose pace is limited now.
+    std::size_t paced_upstreams() const;
+    /// Changes of upstreams' paces since the last call, at most `max_pace_changes`.
+    std::vector<upstream_pace_change> take_pace_changes();
     std::vector<service_times> median_service_times() const;
     /// The request that finished last.
     request_summary const& last_finished() const { return last_finished_; }
@@ -298,9 +317,20 @@
     duration expected_service_time(pending_request const& request, bool object_is_recent) const;
     void start_send(pending_request& request, placement_choice const& chosen, time_point now,
                     commands& out);
-    bool may_send_to(upstream_tracker& tracker, double cold_rate, time_point now) const;
-    /// True if this is the one entry that sends requests to the upstream while it is cold.
-    bool is_sender_to_cold_upstream(upstream_tracker const& tracker) const;
+    bool may_send_to(upstream_tracker& tracker, double cold_rate, time_point now);
+    void update_cold_senders(time_point now);
+
+    // Pace of upstreams (forwarding_pace.cpp).
+    /// Takes the registry's current data of an upstream that was known before, or begins the pace
+    /// of a new one that has just started.
+    void update_tracker(upstream_tracker& tracker, known_upstream const& known, bool is_new,
+                        time_point now);
+    /// Looks after the upstream's pace from now on if it isn't steady.
+    void watch_pace(upstream_tracker const& tracker);
+    void update_paces(time_point now);
+    /// Records that a paced upstream has room. Its limit is low, so entries without precedence
+    /// would otherwise pass it over whenever they are sent a single request.
+    void note_free_slots(upstream_tracker& tracker, time_point now);
     /// True if the route and the caller's team both may be served in the region.
     bool may_run_in(pending_request const& request, region_name const& region) const;
     /// Part of the placement cost, in milliseconds, that is lower for upstreams in this place and
@@ -377,6 +407,12 @@
     std::set<upstream_name> ejected_upstreams_;
     std::map<service_name, service_pool> pools_;
     reported_slot_usage peer_counts_;
+    cold_sender_choice cold_senders_;
+    bool cold_senders_are_outdated_ = false; ///< `entries_` has changed since their update.
+    /// When this entry first knew an upstream.
+    std::optional<time_point> first_upstreams_at_;
+    std::set<upstream_name> paced_upstreams_; ///< Those that aren't steady, or may soon not be.
+    std::vector<upstream_pace_change> pace_changes_;
     outbound_fraction_limiter region_share_;
     std::map<instance_name, region_name> entries_;
     std::vector<instance_name> own_region_entries_; ///< Entries of this region, including this one.
--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -6,6 +6,7 @@
 #include "libraries/forwarding/slot_totals.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace burdockstep {
 
@@ -45,17 +46,17 @@
     return std::chrono::duration<double, std::milli>(span).count();
 }
 
-/// Selects the upstream with the lowest cost, and a slow one only if all are slow: requests don't
-/// leave a region because all its upstreams seem slow.
+/// Selects the upstream with the lowest cost, and one that is slow or at the limit of its pace only
+/// if all are: requests don't leave a region because all its upstreams seem slow.
 struct preferred_upstream
 {
     upstream_tracker const* tracker = nullptr;
     double lowest_cost = 0;
     bool is_slow = false;
 
-    void consider(upstream_tracker const& other, double cost)
+    void consider(upstream_tracker const& other, double cost, bool is_at_limit)
     {
-        bool const slow = other.service_time_ratio() >= slow_service_time_ratio;
+        bool const slow = is_at_limit || other.service_time_ratio() >= slow_service_time_ratio;
         bool const better =
             tracker == nullptr || (is_slow && !slow) || (slow == is_slow && cost < lowest_cost);
         if (!better)
@@ -113,35 +114,22 @@
                                                 initial_service_time_fraction);
 }
 
-bool forwarding_engine::is_sender_to_cold_upstream(upstream_tracker const& tracker) const
-{
-    // The sender is the entry with the highest hash among those of the upstream's region, or among
-    // all entries if that region has none.
-    instance_name const* best = nullptr;
-    std::uint64_t best_hash = 0;
-    bool best_is_regional = false;
-    for (auto const& [name, region] : entries_) {
-        bool const regional = region == tracker.known().region;
-        std::uint64_t const hash = hash_of(name.get(), tracker.key().get());
-        bool const better = best == nullptr || (regional && !best_is_regional) ||
-                            (regional == best_is_regional && hash > best_hash);
-        if (!better)
-            continue;
-        best = &name;
-        best_hash = hash;
-        best_is_regional = regional;
-    }
-    return best == nullptr || *best == options_.instance;
-}
-
-bool forwarding_engine::may_send_to(upstream_tracker& tracker, double cold_rate,
-                                    time_point now) const
+bool forwarding_engine::may_send_to(upstream_tracker& tracker, double cold_rate, time_point now)
 {
     if (!tracker.may_send_now(now))
         return false;
     if (cold_rate <= 0 || !tracker.is_cold(now))
         return true;
-    return is_sender_to_cold_upstream(tracker) && tracker.has_cold_token(cold_rate, now);
+    update_cold_senders(now);
+    return cold_senders_.is_sender(tracker.key(), tracker.known().region, now) &&
+           tracker.has_cold_token(cold_rate * cold_senders_.share(now), now);
+}
+
+void forwarding_engine::update_cold_senders(time_point now)
+{
+    if (!std::exchange(cold_senders_are_outdated_, false))
+        return;
+    cold_senders_.update(entries_, now);
 }
 
 void forwarding_engine::update_slot_precedence(upstream_tracker& tracker,
@@ -187,7 +175,13 @@
         tracker.record_full();
         return std::nullopt;
     }
-    if (!may_take_slot(tracker, tracker.slots() - occupied_slots, now))
+    unsigned const limit = tracker.request_limit(now);
+    if (occupied_slots >= limit) {
+        tracker.record_full();
+        ++counters_.held_back_by_pace;
+        return std::nullopt;
+    }
+    if (!may_take_slot(tracker, limit - occupied_slots, now))
         return std::nullopt;
     double cost = milliseconds(expected_round_trip(tracker));
     if (request.matched_route->kind == request_kind::download) {
@@ -230,7 +224,9 @@
         if (in_region)
             region_slots.add(*each, peer_counts_, now);
         if (may_run_in(request, each->known().region))
-            (in_region ? regional : remote).consider(*each, affinity_cost_ms(request, *each));
+            (in_region ? regional : remote)
+                .consider(*each, affinity_cost_ms(request, *each),
+                          each->is_at_pace_limit(peer_counts_, now));
     }
     return {.preferred_in_region = regional.tracker,
             .preferred_elsewhere = remote.tracker,
--- a/libraries/forwarding/upstream_tracker.cpp
+++ b/libraries/forwarding/upstream_tracker.cpp
@@ -20,16 +20,24 @@
                                    known_upstream const& known, upstream_proximity proximity)
     : options_(options), known_(known), key_(key_of(known.registration.name)),
       proximity_(proximity), probe_interval_(options.initial_probe_interval),
-      recent_objects_(options.max_recent_objects)
+      recent_objects_(options.max_recent_objects),
+      pace_(options.pace, known.registration.slots.get())
 {}
 
-void upstream_tracker::update(known_upstream const& known)
+void upstream_tracker::update(known_upstream const& known, time_point now)
 {
+    bool const became_cold = now < known.cold_until && !is_cold(now);
+    bool const is_back_from_evacuation = known_.evacuated && !known.evacuated;
     bool const restarted = known.registration.started_ms != known_.registration.started_ms ||
                            known.registration.at != known_.registration.at;
     // A leaving mark made here may be newer than the registry's state.
     bool const was_leaving = known_.draining;
     known_ = known;
+    pace_.set_slots(slots());
+    if (is_back_from_evacuation)
+        pace_.begin(pace_reason::evacuation, now);
+    else if (became_cold && !restarted)
+        pace_.begin(pace_reason::became_cold, now);
     if (!restarted) {
         known_.draining = known_.draining || was_leaving;
         return;
@@ -42,6 +50,8 @@
     failure_rate_ = 0;
     service_time_ratio_ = 1;
     probe_interval_ = options_.initial_probe_interval;
+    paces_after_pause_ = false;
+    pace_.begin(pace_reason::started, now);
 }
 
 void upstream_tracker::record_send(std::uint64_t object)
@@ -51,10 +61,36 @@
     ++sends_since_load_;
 }
 
-void upstream_tracker::record_service_time_ratio(double ratio)
+void upstream_tracker::record_service_time_ratio(double ratio, time_point sent_at, time_point now)
 {
-    service_time_ratio_ += options_.service_time_ratio_weight *
-                           (std::min(ratio, options_.max_service_time_ratio) - service_time_ratio_);
+    double const bounded_ratio = std::min(ratio, options_.max_service_time_ratio);
+    service_time_ratio_ +=
+        options_.service_time_ratio_weight * (bounded_ratio - service_time_ratio_);
+    pace_.record_answer(std::max(bounded_ratio, slowness(now)), sent_at, now);
+    pace_.record_average_ratio(service_time_ratio_, now);
+}
+
+void upstream_tracker::update_pace(time_point now)
+{
+    if (paces_after_pause_ && now >= requested_pause_end_) {
+        paces_after_pause_ = false;
+        pace_.begin(pace_reason::pause_ended, now);
+    }
+    pace_.set_cold(is_cold(now));
+    pace_.update(own_requests_under_way_, now);
+}
+
+unsigned upstream_tracker::request_limit(time_point now)
+{
+    if (has_unsteady_pace())
+        update_pace(now);
+    return pace_.limit();
+}
+
+bool upstream_tracker::is_at_pace_limit(reported_slot_usage const& peer_counts,
+                                        time_point now) const
+{
+    return !pace_.is_steady() && occupancy(peer_counts, now) >= pace_.limit();
 }
 
 void upstream_tracker::record_cancelled_send()
@@ -70,6 +106,8 @@
     bool const failed =
         report.result == send_result::broken ||
         (report.result == send_result::answered && report.status >= first_server_error_status);
+    if (failed)
+        pace_.record_failure(now);
     failure_rate_ += options_.failure_rate_weight * ((failed ? 1.0 : 0.0) - failure_rate_);
     switch (report.result) {
     case send_result::answered:
@@ -77,6 +115,7 @@
         break;
     case send_result::shed:
         backoff_end_ = now + options_.shed_backoff;
+        pace_.record_shed(now);
         break;
     case send_result::other_instance:
         break;
@@ -107,6 +146,7 @@
 void upstream_tracker::record_requested_pause(duration pause, time_point now)
 {
     requested_pause_end_ = std::max(requested_pause_end_, now + pause);
+    paces_after_pause_ = paces_after_pause_ || pause >= options_.min_paced_pause;
 }
 
 bool upstream_tracker::needs_probe(time_point now) const
@@ -121,7 +161,8 @@
     if (report.load)
         record_load(*report.load, now);
     if (report.healthy) {
-        ejected_ = false;
+        if (std::exchange(ejected_, false))
+            pace_.begin(pace_reason::returned, now);
         consecutive_failures_ = 0;
         return;
     }
--- a/libraries/forwarding/upstream_tracker.hpp
+++ b/libraries/forwarding/upstream_tracker.hpp
@@ -6,6 +6,7 @@
 #include "libraries/dispatch/recent_objects.hpp"
 #include "libraries/dispatch/reported_slot_usage.hpp"
 #include "libraries/forwarding/forwarding_messages.hpp"
+#include "libraries/forwarding/upstream_pace.hpp"
 
 #include <optional>
 
@@ -41,6 +42,9 @@
     /// single long requests are common.
     double service_time_ratio_weight = 0.15;
     double max_service_time_ratio = 4;
+    upstream_pace_options pace;
+    /// An upstream is paced after a pause that it asked for if the pause was at least as long.
+    duration min_paced_pause = std::chrono::milliseconds(500);
 };
 
 /// Counts this entry's sends to one upstream and keeps what the upstream's answers reported.
@@ -52,7 +56,7 @@
 
     /// Takes over the registry's current data. Requests under way stay counted; if the upstream
     /// has restarted or moved, its health and recent objects are reset.
-    void update(known_upstream const& known);
+    void update(known_upstream const& known, time_point now);
 
     void record_send(std::uint64_t object);
     void record_send_end(send_end_report const& report, time_point now);
@@ -104,13 +108,29 @@
     /// Records that a slot is free, and returns for how long this entry has seen free slots.
     duration record_free(time_point now);
     /// Records a send's service time, as a multiple of the service's median.
-    void record_service_time_ratio(double ratio);
+    void record_service_time_ratio(double ratio, time_point sent_at, time_point now);
     /// Moving average of this upstream's service times, as multiples of the service's median.
     double service_time_ratio() const { return service_time_ratio_; }
     /// Moving average of the fraction of sends that broke or were answered with a 5xx status.
     double failure_rate() const { return failure_rate_; }
     bool is_cold(time_point now) const { return now < known_.cold_until; }
 
+    /// Limits the upstream's requests from now on as its pace allows.
+    void begin_pace(pace_reason reason, time_point now) { pace_.begin(reason, now); }
+    /// Brings the pace up to date with the time alone.
+    void update_pace(time_point now);
+    /// The most requests, of all entries, that may be under way at the upstream now.
+    unsigned request_limit(time_point now);
+    /// True if the pace allows no further request, though a slot may be free.
+    bool is_at_pace_limit(reported_slot_usage const& peer_counts, time_point now) const;
+    /// True if the pace isn't steady, will begin after a pause, or has changed.
+    bool has_unsteady_pace() const
+    {
+        return !pace_.is_steady() || paces_after_pause_ || pace_.has_change();
+    }
+    std::optional<pace_change> take_pace_change() { return pace_.take_change(); }
+    upstream_pace const& pace() const { return pace_; }
+
     known_upstream const& known() const { return known_; }
     upstream_key key() const { return key_; }
     upstream_incarnation incarnation() const { return known_.registration.incarnation(); }
@@ -143,6 +163,8 @@
     unsigned entries_ahead_ = 0;
     /// When this entry first saw a free slot; reset when all slots are occupied.
     std::optional<time_point> free_since_;
+    upstream_pace pace_;
+    bool paces_after_pause_ = false; ///< The pace begins when the requested pause ends.
     double cold_tokens_ = 1;
     time_point cold_tokens_updated_at_;
 };
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -15,6 +15,9 @@
 /// After the process was suspended, requests wait for the registry to be read again, but no longer
 /// than this.
 constexpr duration max_suspension = std::chrono::milliseconds(1'500);
+/// Within this time the entries' views of who lives come to agree: a start or an end is known to
+/// all after a few heartbeats.
+constexpr duration view_settle_time = std::chrono::milliseconds(2'000);
 /// Incomplete answers may take this part of the process's memory.
 constexpr std::size_t answer_buffer_divisor = 4;
 /// At most this many requests that are cut by the end of the process get a line in the log.
@@ -28,6 +31,7 @@
     options.instance = settings.instance;
     options.place = settings.place;
     options.region = settings.region;
+    options.cold_sender.view_settle_time = view_settle_time;
     options.retry_budget = {.max_retry_ratio = settings.retry_ratio,
                             .fixed_retries = settings.retry_slack,
                             .window = settings.retry_window};
@@ -67,6 +71,7 @@
     BOOST_LEAF_ASSIGN(context_.settings.callers, listen());
     maintenance_timer_.start_periodic(requests_maintenance_interval, [this] {
         execute(engine_.tick(context_.clock.now()));
+        log_pace_changes();
         slot_report_ages_.add(engine_.mean_report_age(context_.clock.now()));
         if (++maintenance_runs_ % maintenance_runs_per_full_report == 0) {
             report_all_counts(true);
@@ -231,6 +236,15 @@
                field("configuration", summary.version.get())});
 }
 
+void requests_task::log_pace_changes()
+{
+    for (upstream_pace_change const& each : engine_.take_pace_changes())
+        log_.info("upstream's pace changed",
+                  {field("upstream", each.upstream.get()),
+                   field("state", name_of(each.change.state)), field("limit", each.change.limit),
+                   field("why", name_of(each.change.reason))});
+}
+
 void requests_task::log_cut_requests()
 {
     auto const requests =
@@ -458,6 +472,8 @@
         write_metric(
             fmt::format("refusals_total{{reason=\"{}\"}}", name_of(static_cast<refusal>(i))),
             counters.refusals[i]);
+    write_metric("sends_held_back_by_pace_total", counters.held_back_by_pace);
+    write_metric("upstreams_paced", engine_.paced_upstreams());
     write_metric("requests_under_way", engine_.requests_under_way());
     http1::client_counters const& connections = upstream_client_.counters();
     write_metric("upstream_connections_opened_total", connections.connections_opened);
--- a/services/burdockstep_gateway/requests/requests_task.hpp
+++ b/services/burdockstep_gateway/requests/requests_task.hpp
@@ -59,6 +59,7 @@
     wire::slot_report make_slot_report(std::vector<wire::upstream_request_count> counts,
                                        bool is_full_report);
     void log_unanswered(request_id id, time_point arrived_at, http1::connection_end end);
+    void log_pace_changes();
     /// Logs the requests and answers that the end of the process cuts.
     void log_cut_requests();
     void log_request_end(request_id id, std::string_view outcome, int status);
--- a/tests/fakes/member_network.cpp
+++ b/tests/fakes/member_network.cpp
@@ -188,6 +188,19 @@
     return false;
 }
 
+std::map<instance_name, region_name> member_network::live_entries(std::size_t observer) const
+{
+    std::map<instance_name, region_name> live;
+    for (member_view const& each : entries_[observer].directory->members()) {
+        bool const is_live = each.listed.instance == name_of(observer) ||
+                             (each.is_reachable() && !each.listed.leaving);
+        if (is_live)
+            live.emplace(each.listed.instance, each.listed.region);
+    }
+    live.emplace(name_of(observer), entries_[observer].listed.region);
+    return live;
+}
+
 std::size_t member_network::count_pairs(bool runs, bool is_named) const
 {
     std::size_t count = 0;
--- a/tests/fakes/member_network.hpp
+++ b/tests/fakes/member_network.hpp
@@ -39,6 +39,13 @@
     std::size_t size() const { return entries_.size(); }
     /// Returns true when look-ups at `observer` name `observed`.
     bool names(std::size_t observer, std::size_t observed) const;
+    /// The entries that a running observer counts as live, itself included, with their regions.
+    std::map<instance_name, region_name> live_entries(std::size_t observer) const;
+    instance_name const& name_of(std::size_t entry) const
+    {
+        return entries_[entry].listed.instance;
+    }
+    time_point now() const { return now_; }
     /// Number of pairs of a running observer and an entry that has ended and is still named.
     std::size_t count_ended_that_are_named() const { return count_pairs(false, true); }
     /// Number of pairs of a running observer and a running entry that isn't named.
