--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -17,6 +17,9 @@
 constexpr duration max_suspension = std::chrono::milliseconds(1'500);
 /// One incomplete answer may take this part of the process's memory.
 constexpr std::size_t answer_memory_divisor = 4;
+/// Within this time the entries' views of who lives come to agree: a start or an end is known to
+/// all after a few heartbeats.
+constexpr duration view_settle_time = std::chrono::milliseconds(2'000);
 /// At most this many requests that are cut by the end of the process get a line in the log.
 constexpr std::size_t max_logged_cut_requests = 20;
 constexpr int status_bad_gateway = 502;
@@ -41,6 +44,7 @@
     options.instance = settings.instance;
     options.place = settings.place;
     options.region = settings.region;
+    options.cold_sender.view_settle_time = view_settle_time;
     options.retry_budget = {.max_retry_ratio = settings.retry_ratio,
                             .fixed_retries = settings.retry_slack,
                             .window = settings.retry_window};
@@ -96,6 +100,7 @@
     maintenance_timer_.start_periodic(requests_maintenance_interval, [this] {
         execute(engine_.tick(context_.clock.now()));
         log_key_use();
+        log_pace_changes();
         slot_report_ages_.add(engine_.mean_report_age(context_.clock.now()));
         if (++maintenance_runs_ % maintenance_runs_per_full_report == 0) {
             report_all_counts(true);
@@ -322,6 +327,15 @@
                field("configuration", summary.version.get())});
 }
 
+void requests_task::log_pace_changes()
+{
+    for (upstream_pace_change const& each : engine_.take_pace_changes())
+        log_.info("upstream's pace changed",
+                  {field("upstream", each.upstream.get()),
+                   field("state", name_of(each.change.state)), field("limit", each.change.limit),
+                   field("why", name_of(each.change.reason))});
+}
+
 void requests_task::log_cut_requests()
 {
     auto const requests =
@@ -569,6 +583,8 @@
             fmt::format("refusals_total{{reason=\"{}\"}}", name_of(static_cast<refusal>(i))),
             counters.refusals[i]);
     place_reports_.write_metrics(out);
+    write_metric("sends_held_back_by_pace_total", counters.held_back_by_pace);
+    write_metric("upstreams_paced", engine_.paced_upstreams());
     write_metric("requests_under_way", engine_.requests_under_way());
     http1::client_counters const& connections = upstream_client_.counters();
     write_metric("upstream_connections_opened_total", connections.connections_opened);
