--- a/tests/fuzz/wire_target.cpp
+++ b/tests/fuzz/wire_target.cpp
@@ -56,6 +56,9 @@
             wire::encode(report),
             wire::encode(entries),
             wire::encode(wire::state_request{.known_version = 4}),
+            wire::encode(wire::directives_question{.number = 7}),
+            wire::encode(wire::directives_proof{
+                .number = 7, .position = update.up_to, .is_proven = true, .age_ms = 900}),
             wire::encode(wire::state_answer{}),
             wire::encode(wire::pool_report{.service = wire::name_text("s"), .slots = 3})};
 }
