teams: new owners of quota shares fill their buckets sooner, large shares are larger

Cause: in the second after all entries lost power 429s went to callers within their quota: buckets began to fill only 300 ms after the start. With 300 entries and a flood an entry asked 64 shares of the largest team once a second each.

Change: the bucket of a new owner begins to fill after 100 ms, and a share of a large quota counts 100 requests/s instead of 50. Buckets still begin empty.

Weighed: a new bucket with some tokens would serve the first requests after a loss of all entries, but each entry that is cut off alone would begin with some too.

--- a/libraries/teams/quota_owner.cpp
+++ b/libraries/teams/quota_owner.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// A new owner grants nothing for so long, in which the former owner's grants end and entries
-/// usually learn of the change.
-constexpr duration takeover_pause = std::chrono::milliseconds(300);
+/// A new owner's bucket begins to fill so much later, as the former owner usually still grants for
+/// some time, until it hears of the change. Longer costs more than it keeps: buckets begin empty.
+constexpr duration takeover_pause = std::chrono::milliseconds(100);
 /// How long not to ask an entry that doesn't own the share, by its own view.
 constexpr duration wait_without_owner = std::chrono::milliseconds(50);
 constexpr duration min_wait = std::chrono::milliseconds(20);
--- a/libraries/teams/quota_shares.cpp
+++ b/libraries/teams/quota_shares.cpp
@@ -14,7 +14,7 @@
 /// With this many shares the loss of one owner costs little.
 constexpr double shares_against_loss = 8;
 /// One entry answers the questions about this many requests per second beside its other work.
-constexpr double requests_per_s_of_large_share = 50;
+constexpr double requests_per_s_of_large_share = 100;
 constexpr double max_shares = 64;
 
 } // namespace
