forwarding: rounds of an upstream's pace last a quarter of a second

With many entries each sees few answers, so rounds ended after their longest time, 0.6 s, and a sound upstream was held back for two seconds.

In the test the limits that rise with time alone no longer wait for a first answer, as they are meant to be deaf.

--- a/libraries/forwarding/upstream_pace.hpp
+++ b/libraries/forwarding/upstream_pace.hpp
@@ -47,7 +47,7 @@
     /// A limit is judged after this time with the answers that there are, because other entries may
     /// send most of the requests. Without any answer and without a bad sign it grows: an upstream
     /// must not stay idle.
-    duration max_round = std::chrono::milliseconds(600);
+    duration max_round = std::chrono::milliseconds(250);
     /// Answers hold if they take no longer than this multiple of what the service's upstreams take,
     /// or than the other multiple of what this upstream took at its best since the pace began.
     double max_ratio_to_service = 1.5;
@@ -55,7 +55,7 @@
     /// Rejections and failures within this time after the limit fell belong to the earlier limit.
     duration min_fall_interval = std::chrono::milliseconds(100);
     /// While none of this entry's requests has been answered, a round lasts up to this multiple.
-    int max_rounds_without_answer = 4;
+    int max_rounds_without_answer = 10;
     /// A pace ends after this time, whatever its limit.
     duration max_duration = std::chrono::seconds(30);
     /// A steady upstream is paced if its answers take this multiple of what the service's take ...
--- a/tests/unit/upstream_pace_load_test.cpp
+++ b/tests/unit/upstream_pace_load_test.cpp
@@ -114,6 +114,7 @@
     upstream_pace_options options;
     options.max_ratio_to_service = 1'000;
     options.min_answers_of_round = 1'000'000;
+    options.max_rounds_without_answer = 1;
     return options;
 }
 
