placement: large bodies stay in their place while slots are free

Cause: once relays carry the slot counts, most bytes between the places of a region are bodies: an object's one upstream by hash is in the other place in a quarter to nearly half of the requests of services with few upstreams, whatever their bodies weigh.

Not while slots are scarce: the places of a region help each other out as before.

Weighed: the same while slots are scarce, sizes by route (docs/design/uneven.md).

--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -63,6 +63,8 @@
     record_send_end(request, report, now);
     switch (report.result) {
     case send_result::answered:
+        if (auto const pool = pools_.find(service); pool != pools_.end())
+            pool->second.transferred.add(report.body_bytes);
         handle_answer(request, report.status, now, out);
         break;
     case send_result::shed:
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -4,6 +4,7 @@
 #include "libraries/core/random.hpp"
 #include "libraries/discovery/upstream_registry.hpp"
 #include "libraries/dispatch/reported_slot_usage.hpp"
+#include "libraries/dispatch/transfer_size.hpp"
 #include "libraries/forwarding/admission.hpp"
 #include "libraries/forwarding/forwarding_messages.hpp"
 #include "libraries/forwarding/stop_admission.hpp"
@@ -241,6 +242,7 @@
         /// Service time for other objects.
         service_time_estimate new_object_service_time;
         spill_controller spill{{}};
+        transfer_size transferred;
     };
 
     struct placement_choice
@@ -307,6 +309,8 @@
     bool may_run_in(pending_request const& request, region_name const& region) const;
     /// Part of the placement cost, in milliseconds, that is lower for upstreams in this place and
     /// for those that the hash of the request's object selects.
+    /// Added cost of the bytes that a request moves between places, in a region of many entries.
+    double transfer_cost_ms(service_pool const& pool, upstream_tracker const& tracker) const;
     double affinity_cost_ms(pending_request const& request, upstream_tracker const& tracker) const;
     pool_summary summarize_pool(pending_request const& request, time_point now) const;
 
--- a/libraries/forwarding/forwarding_messages.hpp
+++ b/libraries/forwarding/forwarding_messages.hpp
@@ -67,6 +67,7 @@
     std::optional<load_report> load;
     bool on_kept_connection = false; ///< The send reused a kept-alive connection.
     bool was_reset = false;          ///< The upstream reset the connection.
+    std::size_t body_bytes = 0;      ///< Of the request's body and the answer's.
 };
 
 /// Result of a health probe.
--- a/libraries/forwarding/forwarding_placement.cpp
+++ b/libraries/forwarding/forwarding_placement.cpp
@@ -3,6 +3,7 @@
 
 #include "libraries/core/digest.hpp"
 #include "libraries/dispatch/affinity_hash.hpp"
+#include "libraries/dispatch/place_relay.hpp"
 #include "libraries/forwarding/slot_totals.hpp"
 
 #include <algorithm>
@@ -206,6 +207,15 @@
     return cost;
 }
 
+double forwarding_engine::transfer_cost_ms(service_pool const& pool,
+                                           upstream_tracker const& tracker) const
+{
+    if (tracker.proximity() != upstream_proximity::same_region ||
+        own_region_entries_.size() < min_region_entries_for_relays)
+        return 0;
+    return other_place_transfer_cost_ms(pool.transferred.mean_bytes());
+}
+
 double forwarding_engine::affinity_cost_ms(pending_request const& request,
                                            upstream_tracker const& tracker) const
 {
@@ -261,9 +271,12 @@
         std::optional<double> const cost = placement_cost(request, *each, now);
         if (!cost)
             continue;
+        // While slots are scarce, the places of a region help each other out whatever the bytes.
+        double const full_cost =
+            *cost + (slots_are_scarce ? 0.0 : transfer_cost_ms(pool->second, *each));
         std::optional<placement_choice>& best = is_elsewhere ? remote : regional;
-        if (!best || *cost < best->cost_ms)
-            best = {.tracker = each, .cost_ms = *cost, .left_region = is_elsewhere};
+        if (!best || full_cost < best->cost_ms)
+            best = {.tracker = each, .cost_ms = full_cost, .left_region = is_elsewhere};
     }
     if (observed.preferred_in_region == nullptr)
         return remote;
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -153,6 +153,10 @@
         upstream_client_.discard_connections(result.to);
     report.on_kept_connection = result.on_reused_connection;
     report.was_reset = result.connection_was_reset;
+    auto const exchange = exchanges_.find(id);
+    report.body_bytes =
+        result.body.size() +
+        (exchange == exchanges_.end() ? 0 : exchange->second->request().body.size());
     bool const is_regular_answer =
         report.result == send_result::answered && report.status < status_unavailable;
     if (!is_regular_answer) {
