--- a/tests/unit/answer_end_test.cpp
+++ b/tests/unit/answer_end_test.cpp
@@ -182,6 +182,7 @@
     constexpr int runs = 3;
     for (ending_case const& each : cases) {
         for (int run = 0; run < runs; ++run)
-            CHECK_TEXT(call_and_wait(each).end == each.expected, each.name);
+            LONGS_EQUAL_TEXT(static_cast<int>(each.expected),
+                             static_cast<int>(call_and_wait(each).end), each.name);
     }
 }
