--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -62,7 +62,12 @@
         state,
         records,
         questions,
-        grants};
+        grants,
+        wire::directives_question{.number = 7},
+        wire::directives_proof{.number = 7,
+                               .position = {.era = store_era(2), .version = store_version(40)},
+                               .is_proven = true,
+                               .age_ms = 900}};
     for (wire::message const& each : messages)
         CHECK(round_trip(each) == each);
 }
