meta: the proof of red tests breaks the quotas' mechanisms too

Twelve mechanisms. Each was broken in scratch copies by the same edits, and unit tests of team_quota or quota_owner failed on each; the script itself wasn't run.

--- a/meta/prove_red.sh
+++ b/meta/prove_red.sh
@@ -156,6 +156,30 @@
 break_one "gateway: a cut head and the answer behind it are one" \
     libraries/http1/message_reader.cpp "(has_status_line_inside_head() ||" \
     "((has_status_line_inside_head() && false) ||"
+break_one "quotas: a new owner's bucket begins full" libraries/teams/quota_owner.cpp \
+    "    checked.tokens = 0;" "    checked.tokens = quota.of_share.burst;"
+break_one "quotas: a regained ownership isn't noticed" libraries/teams/quota_owner.cpp \
+    "owned.generation != generation();" "false;"
+break_one "quotas: lost entries don't count" libraries/teams/quota_census.cpp \
+    "lost += may_live ? 1 : 0;" ""
+break_one "quotas: planned stops count as losses" libraries/teams/quota_census.cpp \
+    "!each.last.leaves_as_planned &&" "true &&"
+break_one "quotas: a fallen part doesn't cut buckets" libraries/teams/quota_owner.cpp \
+    "if (living_part_ == census_.living_part())" "if (true)"
+break_one "quotas: a lowered quota doesn't cut buckets" libraries/teams/quota_owner.cpp \
+    "filled.tokens = std::min(filled.tokens, capacity(quota, living_part));" ""
+break_one "quotas: a gap in the own process isn't noticed" libraries/teams/team_quotas.cpp \
+    "if (now - observed_at_ > max_gap)" "if (false)"
+break_one "quotas: tokens are used after their lease" libraries/teams/team_quotas.cpp \
+    "if (now >= share.held_until) {" "if (false) {"
+break_one "quotas: a token that comes back late is used again" libraries/teams/team_quotas.cpp \
+    "if (now >= token.usable_until || token.share" "if (token.share"
+break_one "quotas: tokens of refused requests are lost" libraries/teams/team_quotas.cpp \
+    "    share.held = holds_others ? share.held + 1 : 1;" ""
+break_one "quotas: a silent owner is waited for" libraries/teams/team_quotas.cpp \
+    "if (!std::exchange(batch.is_given_up, true))" "if (false)"
+break_one "quotas: one owner for a whole team" libraries/teams/quota_shares.cpp \
+    "std::clamp(shares, 1.0, max_shares)" "1.0"
 break_one "a drained region runs requests again when the others have no room" \
     libraries/entry/entry_routing.cpp "outward.note_refused();" ""
 break_one "lost entries stay on the ring of watchers" libraries/membership/member_watching.cpp \
