--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -1,5 +1,7 @@
 #include "libraries/forwarding/forwarding_engine.hpp"
 
+#include "libraries/dispatch/place_relay.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -82,6 +84,7 @@
 forwarding_engine::forwarding_engine(forwarding_options options, random_source& random)
     : options_(std::move(options)), random_(random), admission_(options_.admission, random),
       stop_admission_(options_.stop_admission), key_trust_(options_.key_trust),
+      cold_senders_(options_.cold_sender, options_.instance),
       region_share_(options_.region_shift_limits),
       place_round_trip_(options_.default_place_round_trip)
 {}
@@ -150,6 +153,8 @@
                                     time_point now)
 {
     commands out;
+    if (!first_upstreams_at_ && !upstreams.empty())
+        first_upstreams_at_ = now;
     for (auto& [service, pool] : pools_)
         pool.upstreams.clear();
     trackers_by_key_.clear();
@@ -164,8 +169,7 @@
         upstream_tracker& tracker = inserted->second;
         if (is_new)
             update_slot_precedence(tracker, own_region_entries_, {});
-        else
-            tracker.update(known);
+        update_tracker(tracker, known, is_new, now);
         if (!known.removed)
             pools_[known.registration.service].upstreams.push_back(&tracker);
     }
@@ -190,6 +194,7 @@
             peer_counts_.forget(name);
     }
     entries_ = entries;
+    cold_senders_are_outdated_ = true;
     own_region_entries_.clear();
     for (auto const& [name, region] : entries_) {
         if (region == options_.region)
@@ -214,15 +219,31 @@
 {
     commands out;
     adopt_spill_fractions(report, now);
+    place_waiting_for(peer_counts_.apply_report(report, now), now, out);
+    return out;
+}
+
+forwarding_engine::commands
+forwarding_engine::handle_place_report(wire::place_slot_report const& report, time_point now)
+{
+    commands out;
+    adopt_spill_fractions(report.sums, now);
+    instance_name const stored_as = counts_name_of(place_name(report.place.get()));
+    place_waiting_for(peer_counts_.apply_report(stored_as, report.sums, now), now, out);
+    return out;
+}
+
+void forwarding_engine::place_waiting_for(std::vector<upstream_key> const& freed, time_point now,
+                                          commands& out)
+{
     std::set<service_name> services_with_freed_slots;
-    for (upstream_key const each : peer_counts_.apply_report(report, now)) {
+    for (upstream_key const each : freed) {
         auto const found = trackers_by_key_.find(each);
         if (found != trackers_by_key_.end())
             services_with_freed_slots.insert(found->second->known().registration.service);
     }
     for (service_name const& each : services_with_freed_slots)
         place_waiting(each, now, out);
-    return out;
 }
 
 forwarding_engine::commands forwarding_engine::resume(time_point now)
@@ -398,6 +419,8 @@
         next_maintenance_ = now + maintenance_interval;
         refuse_unconfirmed_waiting(now, out);
         peer_counts_.expire(now, slot_report_lifetime);
+        update_cold_senders(now);
+        update_paces(now);
         for (auto& [service, pool] : pools_) {
             if (pool.spill.is_step_due(now))
                 pool.spill.step(now, free_slot_fraction(service, false, now),
@@ -455,6 +478,7 @@
         return out;
     }
     found->second.record_probe(report, now);
+    watch_pace(found->second);
     if (report.is_other_instance)
         mark_leaving(found->second, out);
     if (report.healthy)
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -376,6 +376,53 @@
     friend bool operator==(directives_proof const&, directives_proof const&) = default;
 };
 
+/// What the machine of one entry can carry. 0 means that a figure isn't known.
+struct entry_capacity_record
+{
+    name_text instance;
+    std::uint32_t core_thousandths = 0;
+    std::uint32_t link_kbps = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(instance, core_thousandths, link_kbps);
+    }
+
+    friend bool operator==(entry_capacity_record const&, entry_capacity_record const&) = default;
+};
+
+/// Capacities of the entries in an entries_update_message, sent after it by the same entry.
+struct entry_capacities_message
+{
+    bounded_list<entry_capacity_record, 12> entries;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(entries);
+    }
+
+    friend bool operator==(entry_capacities_message const&,
+                           entry_capacities_message const&) = default;
+};
+
+/// Requests that all entries of one place have under way, sent by the place's relay to the entries
+/// of other places. They drop it unless it is the next of the relay they know or a full report.
+struct place_slot_report
+{
+    name_text place;
+    slot_report sums; ///< `instance` and `incarnation` are those of the relay.
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(place, sums);
+    }
+
+    friend bool operator==(place_slot_report const&, place_slot_report const&) = default;
+};
+
 /// How many tokens of one share of a team's quota the sender wants.
 struct quota_question_item
 {
@@ -442,6 +489,7 @@
 /// Any message. The index of an alternative is the type byte of the encoding.
 using message = std::variant<heartbeat, pool_report, state_request, state_answer, slot_report,
                              registry_update_message, entries_update_message, member_records,
-                             directives_question, directives_proof, quota_questions, quota_grants>;
+                             directives_question, directives_proof, entry_capacities_message,
+                             place_slot_report, quota_questions, quota_grants>;
 
 } // namespace burdockstep::wire
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -67,6 +67,10 @@
                 context_.post(directives_question_received{.from = from, .question = *question});
             else if (auto const* const proof = std::get_if<wire::directives_proof>(&message))
                 context_.post(directives_proof_received{.proof = *proof});
+            else if (auto const* const told = std::get_if<wire::entry_capacities_message>(&message))
+                process_capacities(*told);
+            else if (auto const* const sums = std::get_if<wire::place_slot_report>(&message))
+                context_.post(place_report_received{.report = *sums});
             else if (auto const* const questions = std::get_if<wire::quota_questions>(&message))
                 context_.post(quota_message_received{.from = from, .message = *questions});
             else if (auto const* const grants = std::get_if<wire::quota_grants>(&message))
@@ -105,6 +109,13 @@
     publish_members();
 }
 
+void peers_task::process_capacities(wire::entry_capacities_message const& told)
+{
+    directory_.apply_list(with_capacities(directory_.list(), told, context_.settings.instance),
+                          context_.clock.now());
+    publish_members();
+}
+
 void peers_task::send_heartbeats()
 {
     time_point const now = context_.clock.now();
@@ -150,6 +161,21 @@
         });
 }
 
+std::vector<address> const& peers_task::targets_of(report_audience audience) const
+{
+    switch (audience) {
+    case report_audience::own_place:
+        return targets_.own_place();
+    case report_audience::other_places_of_region:
+        return targets_.other_places_of_region();
+    case report_audience::other_regions:
+        return targets_.other_regions();
+    case report_audience::own_region:
+        break;
+    }
+    return targets_.own_region();
+}
+
 void peers_task::send_to_all(wire::message const& message)
 {
     send(message, targets_.own_region());
@@ -229,8 +255,10 @@
             send_heartbeats();
     }
     else if (auto const* const outgoing_report = std::get_if<slot_report_ready>(&new_event)) {
-        send(outgoing_report->report,
-             outgoing_report->to_own_region ? targets_.own_region() : targets_.other_regions());
+        send(outgoing_report->report, targets_of(outgoing_report->audience));
+    }
+    else if (auto const* const sums = std::get_if<place_report_ready>(&new_event)) {
+        send(sums->report, targets_of(sums->audience));
     }
     else if (auto const* const update = std::get_if<registry_update_ready>(&new_event)) {
         send_to_all(update->update);
@@ -241,6 +269,9 @@
     else if (auto const* const confirmation = std::get_if<confirmation_message_ready>(&new_event)) {
         send(confirmation->message, {confirmation->to});
     }
+    else if (auto const* const told = std::get_if<entry_capacities_ready>(&new_event)) {
+        send_to_all(told->capacities);
+    }
     else if (auto const* const quota = std::get_if<quota_message_ready>(&new_event)) {
         std::visit([&](auto const& message) { send(message, {quota->to}); }, quota->message);
     }
@@ -253,9 +284,14 @@
 void peers_task::write_metrics(std::string& out) const
 {
     std::size_t serving_entries = 0;
-    for (member_view const& each : directory_.members())
+    std::size_t entries_of_known_capacity = 0;
+    for (member_view const& each : directory_.members()) {
         serving_entries += each.is_serving() ? 1 : 0;
+        entries_of_known_capacity += each.listed.capacity.is_known() ? 1 : 0;
+    }
     fmt::format_to(std::back_inserter(out), "burdockstep_entries_serving {}\n", serving_entries);
+    fmt::format_to(std::back_inserter(out), "burdockstep_entries_of_known_capacity {}\n",
+                   entries_of_known_capacity);
     fmt::format_to(std::back_inserter(out), "burdockstep_datagrams_dropped_total {}\n",
                    dropped_datagrams_);
     datagrams_.write_metrics(out);
--- a/services/burdockstep_gateway/requests/requests_task.hpp
+++ b/services/burdockstep_gateway/requests/requests_task.hpp
@@ -1,6 +1,7 @@
 /// Accepts callers' requests, sends them to upstreams and returns the answers.
 #pragma once
 
+#include "services/burdockstep_gateway/requests/place_reports.hpp"
 #include "services/burdockstep_gateway/requests/quota_exchange.hpp"
 #include "services/burdockstep_gateway/task.hpp"
 
@@ -48,6 +49,8 @@
     void execute(announce_upstream_leaving const& command);
     void handle_send_result(request_id id, upstream_name const& upstream,
                             http1::call_result result);
+    /// Ends a request whose answer arrived in part and found no room. The upstream isn't at fault.
+    void end_without_room(request_id id, http1::call_result const& result);
     void handle_probe_result(upstream_name const& upstream, upstream_incarnation incarnation,
                              http1::call_result const& result);
     /// Returns a function that reads what an upstream says of itself in the head of any answer on a
@@ -60,6 +63,7 @@
     wire::slot_report make_slot_report(std::vector<wire::upstream_request_count> counts,
                                        bool is_full_report);
     void log_unanswered(request_id id, time_point arrived_at, http1::connection_end end);
+    void log_pace_changes();
     /// Logs the requests and answers that the end of the process cuts.
     void log_cut_requests();
     void log_request_end(request_id id, std::string_view outcome, int status);
@@ -88,6 +92,7 @@
     bool other_regions_report_scheduled_ = false;
     bool reported_to_other_regions_ = false; ///< Since the last full report to the own region.
     report_delays report_delays_ = report_delays_for(1, 0);
+    place_reports place_reports_;
     std::unordered_map<request_id, std::shared_ptr<http1::exchange>> exchanges_;
     std::unordered_map<request_id, http1::call_number> active_sends_;
     http1::call_result current_answer_; ///< Answer of the send that is being reported to `engine_`.
--- a/tests/fuzz/wire_target.cpp
+++ b/tests/fuzz/wire_target.cpp
@@ -50,11 +50,15 @@
     entries.entries.add({.instance = wire::name_text("entry-1")});
     wire::member_records records;
     records.records.add({.instance = wire::name_text("entry-2"), .incarnation = 3});
+    wire::entry_capacities_message capacities;
+    capacities.entries.add(
+        {.instance = wire::name_text("entry-1"), .core_thousandths = 500, .link_kbps = 200'000});
     wire::quota_questions questions{.number = 7, .items = {}};
     questions.items.add({.team = 5, .share = 1, .wanted = 2});
     wire::quota_grants grants{.number = 7, .items = {}};
     grants.items.add({.team = 5, .share = 1, .granted = 2, .wait_ms = 3});
     return {wire::encode(beat),
+            wire::encode(capacities),
             wire::encode(questions),
             wire::encode(grants),
             wire::encode(records),
@@ -62,6 +66,9 @@
             wire::encode(report),
             wire::encode(entries),
             wire::encode(wire::state_request{.known_version = 4}),
+            wire::encode(wire::directives_question{.number = 7}),
+            wire::encode(wire::directives_proof{
+                .number = 7, .position = update.up_to, .is_proven = true, .age_ms = 900}),
             wire::encode(wire::state_answer{}),
             wire::encode(wire::pool_report{.service = wire::name_text("s"), .slots = 3})};
 }
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -61,13 +61,13 @@
         wire::state_request{.known_version = 4},
         state,
         records,
-        questions,
-        grants,
         wire::directives_question{.number = 7},
         wire::directives_proof{.number = 7,
                                .position = {.era = store_era(2), .version = store_version(40)},
                                .is_proven = true,
-                               .age_ms = 900}};
+                               .age_ms = 900},
+        questions,
+        grants};
     for (wire::message const& each : messages)
         CHECK(round_trip(each) == each);
 }
