--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -63,8 +63,7 @@
     record_send_end(request, report, now);
     switch (report.result) {
     case send_result::answered:
-        if (auto const pool = pools_.find(service); pool != pools_.end())
-            pool->second.transferred.add(report.body_bytes);
+        record_transfer(request, report.body_bytes);
         handle_answer(request, report.status, now, out);
         break;
     case send_result::shed:
@@ -116,6 +115,15 @@
     finish(request, now);
 }
 
+void forwarding_engine::record_transfer(pending_request const& request, std::size_t body_bytes)
+{
+    if (auto const pool = pools_.find(request.service); pool != pools_.end())
+        pool->second.transferred.add(body_bytes);
+    auto const tracker = trackers_.find(request.upstream);
+    if (tracker != trackers_.end())
+        counters_.body_bytes[static_cast<std::size_t>(tracker->second.proximity())] += body_bytes;
+}
+
 void forwarding_engine::record_service_time(pending_request const& request, time_point now)
 {
     upstream_tracker* const tracker = tracker_of_send(request);
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -79,6 +79,8 @@
     std::uint64_t sends_of_recent_objects = 0; ///< Sends of an object that the upstream had lately.
     std::array<std::uint64_t, send_result_count> send_ends{}; ///< Ends of sends by `send_result`.
     std::array<std::uint64_t, refusal_count> refusals{};      ///< Own answers by `refusal`.
+    /// Bytes of the bodies of answered requests and their answers, by `upstream_proximity`.
+    std::array<std::uint64_t, upstream_proximity_count> body_bytes{};
 };
 
 /// Median service times of one service at this entry's upstreams; zero while unknown.
@@ -351,6 +353,7 @@
                                         time_point now);
     /// The tracker of the request's upstream if that is still the incarnation to which the request
     /// was sent, or null.
+    void record_transfer(pending_request const& request, std::size_t body_bytes);
     upstream_tracker* tracker_of_send(pending_request const& request);
     /// Counts the end of the request's send at its upstream.
     void record_send_end(pending_request const& request, send_end_report const& report,
--- a/libraries/forwarding/upstream_tracker.hpp
+++ b/libraries/forwarding/upstream_tracker.hpp
@@ -19,6 +19,9 @@
     other_region
 };
 
+constexpr std::size_t upstream_proximity_count =
+    static_cast<std::size_t>(upstream_proximity::other_region) + 1;
+
 /// Parameters for tracking one upstream.
 struct upstream_tracker_options
 {
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -475,6 +475,11 @@
         write_metric(
             fmt::format("refusals_total{{reason=\"{}\"}}", name_of(static_cast<refusal>(i))),
             counters.refusals[i]);
+    constexpr std::array<char const*, upstream_proximity_count> distances{"place", "region",
+                                                                          "beyond"};
+    for (std::size_t i = 0; i < distances.size(); ++i)
+        write_metric(fmt::format("body_bytes_total{{to=\"{}\"}}", distances[i]),
+                     counters.body_bytes[i]);
     place_reports_.write_metrics(out);
     write_metric("requests_under_way", engine_.requests_under_way());
     http1::client_counters const& connections = upstream_client_.counters();
--- a/tests/unit/transfer_cost_test.cpp
+++ b/tests/unit/transfer_cost_test.cpp
@@ -88,6 +88,18 @@
     CHECK(large < small / 2);
 }
 
+TEST(transfer_cost, bytes_are_counted_by_distance)
+{
+    start_region(16, 9);
+    unsigned const elsewhere = sent_to_other_place(100, 1'000);
+    auto const& bytes = engine->counters().body_bytes;
+    LONGS_EQUAL(elsewhere * 1'000,
+                bytes[static_cast<std::size_t>(upstream_proximity::same_region)]);
+    LONGS_EQUAL((100 - elsewhere) * 1'000,
+                bytes[static_cast<std::size_t>(upstream_proximity::same_place)]);
+    LONGS_EQUAL(0, bytes[static_cast<std::size_t>(upstream_proximity::other_region)]);
+}
+
 TEST(transfer_cost, small_regions_place_large_bodies_as_before)
 {
     start_region(15, 9);
