comments: doc comments stand at their own functions; what a pace's limits mean

Three doc comments of the forwarding engine stood above functions that were inserted below them. The pace's options say which multiple and which time they mean.

--- a/libraries/forwarding/cold_sender_choice.hpp
+++ b/libraries/forwarding/cold_sender_choice.hpp
@@ -16,17 +16,17 @@
 struct cold_sender_options
 {
     /// Time within which the entries' views of who lives come to agree. An entry sends nothing to
-    /// cold upstreams for this time after its own start, and an entry that has gone keeps its place
-    /// for this time. Zero: views are taken to agree at all times.
+    /// cold upstreams for this time after its own start, and an entry that has gone still takes
+    /// part in the choice for this time. Zero: views are taken to agree at all times.
     duration view_settle_time{};
     /// Entries that this one can't reach may still live, and then send as well. For this time after
     /// they have gone their part of the rate is left to them.
     duration unreachable_retention = std::chrono::seconds(30);
 };
 
-/// The entry with the highest hash of those in the upstream's region sends, or of all entries if
-/// that region has none. Each entry chooses for itself from the entries that it knows, so the
-/// choice follows a change only when the others know of the change too.
+/// The entry with the highest rendezvous hash of those in the upstream's region sends, or of all
+/// entries if that region has none. Each entry chooses for itself from the entries that it knows,
+/// so the choice follows a change only when the others know of the change too.
 class cold_sender_choice
 {
 public:
@@ -58,7 +58,7 @@
     std::map<instance_name, region_name> entries_;
     std::map<instance_name, gone_entry> gone_;
     /// Whether this entry is the sender, until the entries change or one of those that have gone
-    /// loses its place.
+    /// no longer takes part in the choice.
     std::unordered_map<upstream_key, bool> chosen_;
     time_point chosen_until_ = time_point::max();
 };
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -345,18 +345,19 @@
     /// of a new one that has just started.
     void update_tracker(upstream_tracker& tracker, known_upstream const& known, bool is_new,
                         time_point now);
-    /// Looks after the upstream's pace from now on if it isn't steady.
+    /// Has `update_paces` update the upstream's pace from now on if it isn't steady.
     void watch_pace(upstream_tracker const& tracker);
     void update_paces(time_point now);
-    /// Records that a paced upstream has room. Its limit is low, so entries without precedence
-    /// would otherwise pass it over whenever they are sent a single request.
+    /// Records that a paced upstream has room. Without this, entries that lack precedence would
+    /// rarely send to it: its limit is low, and they wait until a free slot has been seen for some
+    /// milliseconds.
     void note_free_slots(upstream_tracker& tracker, time_point now);
     /// True if the route and the caller's team both may be served in the region.
     bool may_run_in(pending_request const& request, region_name const& region) const;
-    /// Part of the placement cost, in milliseconds, that is lower for upstreams in this place and
-    /// for those that the hash of the request's object selects.
     /// Added cost of the bytes that a request moves between places, in a region of many entries.
     double transfer_cost_ms(service_pool const& pool, upstream_tracker const& tracker) const;
+    /// Part of the placement cost, in milliseconds, that is lower for upstreams in this place and
+    /// for those that the hash of the request's object selects.
     double affinity_cost_ms(pending_request const& request, upstream_tracker const& tracker) const;
     pool_summary summarize_pool(pending_request const& request, time_point now) const;
 
@@ -370,9 +371,9 @@
     double planned_spill_fraction(service_pool const& pool, time_point now) const;
     /// Sets the initial spill fraction of a service once enough is known about other entries.
     void begin_spill(service_pool& pool, time_point now);
-    /// Takes over the spill fractions of another entry of this region if this one has just started.
     /// Places waiting requests of the services of these upstreams, which have fewer requests now.
     void place_waiting_for(std::vector<upstream_key> const& freed, time_point now, commands& out);
+    /// Takes over the spill fractions of another entry of this region if this one has just started.
     void adopt_spill_fractions(wire::slot_report const& report, time_point now);
 
     // Ends of sends and requests (forwarding_endings.cpp).
@@ -395,9 +396,10 @@
     void finish(pending_request& request, time_point now);
     std::optional<duration> retry_after(pending_request const& request, refusal reason,
                                         time_point now);
+    /// Counts the bytes of an answered request's body and of its answer's.
+    void record_transfer(pending_request const& request, std::size_t body_bytes);
     /// The tracker of the request's upstream if that is still the incarnation to which the request
     /// was sent, or null.
-    void record_transfer(pending_request const& request, std::size_t body_bytes);
     upstream_tracker* tracker_of_send(pending_request const& request);
     /// Counts the end of the request's send at its upstream.
     void record_send_end(pending_request const& request, send_end_report const& report,
@@ -436,7 +438,8 @@
     bool cold_senders_are_outdated_ = false; ///< `entries_` has changed since their update.
     /// When this entry first knew an upstream.
     std::optional<time_point> first_upstreams_at_;
-    std::set<upstream_name> paced_upstreams_; ///< Those that aren't steady, or may soon not be.
+    /// Upstreams whose pace isn't steady, will begin after a pause, or has a change to be logged.
+    std::set<upstream_name> paced_upstreams_;
     std::vector<upstream_pace_change> pace_changes_;
     outbound_fraction_limiter region_share_;
     std::map<instance_name, region_name> entries_;
--- a/libraries/forwarding/upstream_pace.cpp
+++ b/libraries/forwarding/upstream_pace.cpp
@@ -154,7 +154,8 @@
 void upstream_pace::rise(bool holds_to_service, time_point now)
 {
     unsigned const before = limit_;
-    // One that is slow whatever it is sent may gain from more requests, but others serve better.
+    // An upstream that is slow at any limit gets more requests too, but in smaller steps, as others
+    // answer sooner.
     unsigned const step = holds_to_service ? limit_ : (limit_ + 1) / 2;
     limit_ = limit_ < doubling_end_ ? std::min(limit_ + step, std::max(doubling_end_, limit_ + 1))
                                     : limit_ + 1;
--- a/libraries/forwarding/upstream_pace.hpp
+++ b/libraries/forwarding/upstream_pace.hpp
@@ -11,8 +11,8 @@
 enum class pace_state
 {
     steady, ///< There is no limit but the upstream's slots.
-    rising, ///< The limit doubles while the upstream's answers hold.
-    careful ///< The upstream didn't bear a limit; from half of that on it grows step by step.
+    rising, ///< The limit doubles each round until answers become slower or fail.
+    careful ///< A limit was too high: from half of it on, the limit grows by one each round.
 };
 
 constexpr std::size_t pace_state_count = static_cast<std::size_t>(pace_state::careful) + 1;
@@ -48,20 +48,24 @@
     /// send most of the requests. Without any answer and without a bad sign it grows: an upstream
     /// must not stay idle.
     duration max_round = std::chrono::milliseconds(250);
-    /// Answers hold if they take no longer than this multiple of what the service's upstreams take,
-    /// or than the other multiple of what this upstream took at its best since the pace began.
+    /// A limit holds if the answers take at most this multiple of what the service's upstreams
+    /// take, or at most `max_ratio_to_own_best` times what this upstream took in its best round
+    /// since the pace began.
     double max_ratio_to_service = 1.5;
     double max_ratio_to_own_best = 1.3;
     /// Rejections and failures within this time after the limit fell belong to the earlier limit.
     duration min_fall_interval = std::chrono::milliseconds(100);
-    /// While none of this entry's requests has been answered, a round lasts up to this multiple.
+    /// While none of this entry's requests has been answered, a round lasts up to this multiple of
+    /// `max_round`.
     int max_rounds_without_answer = 10;
     /// A pace ends after this time, whatever its limit.
     duration max_duration = std::chrono::seconds(30);
-    /// A steady upstream is paced if its answers take this multiple of what the service's take ...
+    /// A steady upstream is paced if its answers take at least this multiple of what the service's
+    /// upstreams take, for `slow_duration`.
     double slow_ratio = 3.0;
-    /// ... for this time, and again only after its ratio has fallen below the other multiple.
     duration slow_duration = std::chrono::milliseconds(1'500);
+    /// An upstream that was paced for being slow is paced for it again only after its answers have
+    /// taken less than this multiple.
     double recovered_ratio = 2.0;
 };
 
--- a/libraries/forwarding/upstream_tracker.hpp
+++ b/libraries/forwarding/upstream_tracker.hpp
@@ -120,7 +120,7 @@
 
     /// Limits the upstream's requests from now on as its pace allows.
     void begin_pace(pace_reason reason, time_point now) { pace_.begin(reason, now); }
-    /// Brings the pace up to date with the time alone.
+    /// Ends the pace's round, or the pace itself, if its time is over.
     void update_pace(time_point now);
     /// The most requests, of all entries, that may be under way at the upstream now.
     unsigned request_limit(time_point now);
