--- a/libraries/teams/decaying_count.hpp
+++ b/libraries/teams/decaying_count.hpp
@@ -7,7 +7,7 @@
 
 namespace burdockstep {
 
-/// Counts events with weights that fall by the factor e within `memory`.
+/// Counts events whose weights decay exponentially, with the time constant `memory`.
 class decaying_count
 {
 public:
@@ -18,8 +18,9 @@
         value_ = value_at(now) + events;
         changed_at_ = now;
     }
-    /// Events per second lately.
+    /// Mean rate of events per second, over about the last `memory`.
     double per_second(time_point now) const { return value_at(now) / memory_s_; }
+    /// Sum of the events' weights.
     double value_at(time_point now) const
     {
         return value_ * std::exp(-seconds(now - changed_at_) / memory_s_);
--- a/libraries/teams/key_trust.hpp
+++ b/libraries/teams/key_trust.hpp
@@ -18,8 +18,10 @@
     duration denial_limit = std::chrono::milliseconds(1'000);
 };
 
-/// Answers this load: callers with withdrawn keys or new ones at entries whose knowledge is old.
-/// Knowledge is as old as the start of the read that confirmed it as the newest.
+/// Decides by the age of the known keys whether requests may be taken, sent or denied: a key that
+/// this entry knows may have been withdrawn since, and one that it doesn't know may have been
+/// added. The age counts from the start of the read that confirmed the known keys as the newest
+/// ones.
 class key_trust
 {
 public:
@@ -33,7 +35,7 @@
 
     /// True if a request with a known key may be taken and sent now.
     bool may_act_on_keys(time_point now) const;
-    /// True if a request with an unknown key, or none, may be denied for good now.
+    /// True if a request with an unknown key, or none, may be answered as denied now.
     bool may_deny(time_point now) const;
     /// The time at which the known keys were last the newest ones; nothing if none is known.
     std::optional<time_point> fresh_as_of() const { return fresh_as_of_; }
--- a/libraries/teams/quota_census.cpp
+++ b/libraries/teams/quota_census.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// An entry that was lost longer ago isn't expected to live behind a cut.
+/// An entry that was lost longer ago isn't expected to run on the other side of a partition.
 constexpr duration max_time_lost = std::chrono::minutes(10);
 
 /// Mixes the bits of the number, as the finaliser of a 64-bit hash does.
@@ -53,7 +53,7 @@
     auto const [found, is_new] = entries_.try_emplace(entry.instance);
     known_entry& known = found->second;
     bool const was_alive = known.last.is_alive;
-    // An entry that stopped as planned becomes silent in the end, and is still not lost.
+    // An entry that stopped as planned isn't lost when it falls silent.
     bool const left_as_planned = !is_new && known.last.leaves_as_planned && !entry.is_alive;
     if (is_new)
         known.hash = hash_of(entry.instance.get());
--- a/libraries/teams/quota_census.hpp
+++ b/libraries/teams/quota_census.hpp
@@ -31,9 +31,10 @@
     bool leaves_as_planned = false; ///< It stops, or is listed as leaving, and grants nothing.
 };
 
-/// Answers this load: entries that lose sight of each other and each go on. An entry that is lost
-/// but didn't leave may live behind a cut and grant its part, so it keeps counting for some
-/// minutes; the living ones grant only their part. Both sides together never exceed the quota.
+/// Keeps the quotas during a network partition, in which entries on both sides go on. An entry that
+/// is lost and didn't leave as planned may still run on the other side and grant tokens there. So
+/// it counts as known for some minutes, and the living entries grant only their part of the quota:
+/// living entries divided by living and lost ones.
 class quota_census
 {
 public:
@@ -42,7 +43,8 @@
     /// Takes over the membership's view. Entries that vanish from it without having left as planned
     /// count as lost.
     void update(std::vector<quota_entry> const& entries, time_point now);
-    /// Time may have passed that the clock didn't count: what was owned before is owned from now.
+    /// Takes what this entry owns as owned from now on only, because other entries may have owned
+    /// it in the meantime.
     void restart(time_point now);
 
     /// The living entry that owns the share; null until this entry itself is known. It stays valid
@@ -50,7 +52,7 @@
     quota_entry const* owner_of(quota_share const& share) const;
     /// Since when this entry has owned the share; nothing if another owns it.
     std::optional<time_point> owned_since(quota_share const& share) const;
-    /// Living entries divided by known entries.
+    /// Living entries divided by living and lost entries.
     double living_part() const { return living_part_; }
     /// When the living part last grew: others may have granted what this entry may grant now.
     time_point part_grown_at() const { return part_grown_at_; }
--- a/libraries/teams/quota_owner.cpp
+++ b/libraries/teams/quota_owner.cpp
@@ -7,14 +7,16 @@
 
 namespace {
 
-/// A new owner's bucket begins to fill so much later, as the former owner usually still grants for
-/// some time, until it hears of the change. Longer costs more than it keeps: buckets begin empty.
+/// A new owner's bucket begins to fill this long after the ownership began, because the former
+/// owner usually still grants tokens until it hears of the change. As the bucket begins empty, a
+/// short time is enough.
 constexpr duration takeover_pause = std::chrono::milliseconds(100);
 /// How long not to ask an entry that doesn't own the share, by its own view.
 constexpr duration wait_without_owner = std::chrono::milliseconds(50);
 constexpr duration min_wait = std::chrono::milliseconds(20);
 constexpr duration max_wait = std::chrono::milliseconds(1'000);
-/// Questions per second about one empty share that an owner answers beside its other work.
+/// Questions per second about one empty share at most, so that they take little of the owner's
+/// time.
 constexpr double max_questions_per_s = 200;
 
 double in_seconds(duration time)
--- a/libraries/teams/quota_owner.hpp
+++ b/libraries/teams/quota_owner.hpp
@@ -26,8 +26,8 @@
 };
 
 /// Counts what the entries take of the shares that this entry owns. A bucket begins empty whenever
-/// the ownership begins: the former owner may have granted everything that is due, and may go on
-/// until it learns of the change.
+/// the ownership begins: the former owner may have granted all tokens, and may grant more until it
+/// learns of the change.
 class quota_owner
 {
 public:
@@ -71,7 +71,7 @@
     quota_census const& census_;
     team_quota_table const& quotas_;
     std::unordered_map<quota_share, bucket> buckets_;
-    double living_part_ = 0; ///< That the buckets have followed.
+    double living_part_ = 0; ///< The one that the buckets were last adapted to.
     std::uint64_t tokens_granted_ = 0;
 };
 
--- a/libraries/teams/quota_shares.cpp
+++ b/libraries/teams/quota_shares.cpp
@@ -13,7 +13,7 @@
 constexpr double min_burst_of_share = 2;
 /// With this many shares the loss of one owner costs little.
 constexpr double shares_against_loss = 8;
-/// One entry answers the questions about this many requests per second beside its other work.
+/// A larger share would cost its owner too much time for questions.
 constexpr double requests_per_s_of_large_share = 100;
 constexpr double max_shares = 64;
 
--- a/libraries/teams/team_quotas.cpp
+++ b/libraries/teams/team_quotas.cpp
@@ -7,16 +7,17 @@
 
 namespace {
 
-/// Without a call for so long the process didn't run, and others may have taken over its shares.
-/// Below the time after which entries that are silent are considered lost.
+/// If no call came for longer than this, the process was stopped, and others may have taken over
+/// its shares. Shorter than the time after which silent entries are considered lost.
 constexpr duration max_gap = std::chrono::milliseconds(700);
 /// The longest time that a request waits for its verdict.
 constexpr duration max_verdict_time = std::chrono::milliseconds(150);
 constexpr std::size_t max_requests_waiting = 2'048;
 constexpr duration retry_after_overload = std::chrono::milliseconds(100);
 constexpr duration housekeeping_interval = std::chrono::seconds(1);
+/// A team without requests for longer than this is forgotten.
 constexpr duration team_memory = std::chrono::seconds(10);
-/// Held tokens for less than this time of the team's requests are too few.
+/// Further tokens are asked for when those held last at most this long at the team's present rate.
 constexpr double reserve_s = 0.03;
 
 } // namespace
@@ -224,7 +225,7 @@
     quota_question question{.share = {.team = use.team, .index = static_cast<std::uint8_t>(index)},
                             .wanted = wanted};
     if (share.distance == quota_distance::itself) {
-        // What is here needn't be taken in advance.
+        // From this entry's own buckets, tokens needn't be taken in advance.
         question.wanted = static_cast<unsigned>(use.waiting.size());
         apply_grant(use, owner_.answer(question, now), now + quota_lease, now);
         return;
@@ -308,7 +309,7 @@
     if (!is_over_quota)
         return {.verdict = quota_verdict::undecided, .retry_after = until_open};
     use.refusals.add(1, now);
-    // Those that were refused before come back too, and the tokens are given to one after another.
+    // Callers that were refused before come back too, and each needs a token.
     double const supply_per_s = std::max(use.tokens.per_second(now), min_supply_per_s);
     auto const until_turn = std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(use.refusals.value_at(now) / supply_per_s));
--- a/libraries/teams/team_quotas.hpp
+++ b/libraries/teams/team_quotas.hpp
@@ -43,10 +43,10 @@
     std::uint64_t tokens_given_back = 0;
 };
 
-/// Answers this load: callers of one team at many entries at once, and a team that asks for several
-/// times its quota. An entry asks the owners of a team's shares for tokens when requests need them,
-/// holds requests for the answer, and remembers which shares are empty, so that the flood of a team
-/// causes no message for each request. See docs/design/quotas.md.
+/// Counts the requests of a team whose callers use many entries at once. This entry asks the owners
+/// of the team's shares for tokens when requests need them, and holds the requests until the
+/// answer. It remembers which shares are empty, so that a team far over its quota doesn't cause a
+/// message for each request. See docs/design/quotas.md.
 class team_quotas final : public quota_gate
 {
 public:
@@ -56,9 +56,12 @@
     quota_answer ask(request_id request, team_settings const& team, time_point now) override;
     void give_back(request_id request, team_settings const& team, time_point now) override;
 
+    /// Takes over the quotas of the configuration in force.
     void update_teams(std::vector<team_settings> const& teams, time_point now);
+    /// Takes over the membership's view.
     void update_entries(std::vector<quota_entry> const& entries, time_point now);
-    /// Forgets all that counts with time, because time may have passed that the clock didn't count.
+    /// Drops tokens and open questions, and begins the ownership of shares anew, because the
+    /// process was stopped and others may have taken over. Requests go on waiting.
     void forget(time_point now);
     /// Takes the answer to a batch of questions.
     void handle_grants(quota_question_number number, std::vector<quota_grant> const& grants,
@@ -79,6 +82,7 @@
     bool is_active() const { return !quotas_.is_empty(); }
     quota_counters const& counters() const { return counters_; }
     quota_owner const& owner() const { return owner_; }
+    /// Tokens of all teams that this entry holds for coming requests.
     std::size_t tokens_held() const;
     std::size_t requests_waiting() const { return requests_waiting_; }
     std::size_t teams_in_use() const { return uses_.size(); }
@@ -139,7 +143,8 @@
     void seek_ahead(team_use& use, time_point now);
     static unsigned tokens_asked_for(team_use const& use);
     static unsigned tokens_ahead(team_use const& use, time_point now);
-    /// The share to ask next, if any may be asked: one that answers, and near by.
+    /// The share to ask next, if any may be asked: one with a question that hasn't been sent yet,
+    /// or else the one whose owner answers, of several the nearest.
     std::optional<std::size_t> choose_share(team_use& use, time_point now);
     void refresh_owner(share_use& share, quota_share const& name, time_point now) const;
     void ask_share(team_use& use, std::size_t index, unsigned wanted, time_point now);
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -408,7 +408,8 @@
 };
 
 /// Requests that all entries of one place have under way, sent by the place's relay to the entries
-/// of other places. They drop it unless it is the next of the relay they know or a full report.
+/// of other places. From another relay than the last one, they apply only a full report, unless the
+/// last one is silent.
 struct place_slot_report
 {
     name_text place;
@@ -457,7 +458,7 @@
 /// The answer to one item of a question.
 struct quota_grant_item
 {
-    std::uint64_t team = 0;
+    std::uint64_t team = 0; ///< Hash of its name.
     std::uint8_t share = 0;
     std::uint16_t granted = 0;
     std::uint16_t wait_ms = 0; ///< How long not to ask again; 0 if all that was wanted is granted.
