--- a/libraries/http1/client.hpp
+++ b/libraries/http1/client.hpp
@@ -24,8 +24,8 @@
     complete,      ///< The complete answer has arrived.
     not_connected, ///< No connection was made; no byte was sent.
     broken,        ///< Connection lost, or answer timed out, malformed, truncated or too large.
-    no_room,       ///< No room for a further connection, or for the body at its server; no byte
-                   ///< was sent.
+    no_room,       ///< No room for a further connection, or for the body beside those under way to
+                   ///< the same address; no byte was sent.
     answer_dropped ///< This process has no room for the answer, of which a part had arrived.
 };
 
@@ -136,6 +136,7 @@
     void cancel(call_number call);
     /// Closes the idle connections to an address, and those in use once their call ends.
     void discard_connections(address const& to);
+    /// Replaces the limit of that name.
     void set_max_sent_bytes_per_address(std::size_t bytes);
 
     client_counters const& counters() const;
--- a/libraries/http1/memory_budget.cpp
+++ b/libraries/http1/memory_budget.cpp
@@ -7,14 +7,15 @@
 
 namespace {
 
-/// Accounts that hold at most this much may use the whole budget.
+/// Accounts that hold at most this much may use the whole budget, larger ones all but `max_bytes`
+/// divided by `reserve_divisor`.
 constexpr std::size_t max_small_account_bytes = std::size_t{64} * 1024;
 constexpr std::size_t reserve_divisor = 8;
 /// Connections that are given up free their memory a moment later. Until then, the budget may be
-/// exceeded by this part.
+/// exceeded by `max_bytes` divided by this.
 constexpr std::size_t overdraft_divisor = 4;
-/// A peer that completes what it is about within half a minute moves at least this part of it in a
-/// second.
+/// A peer is slow if it moves less in a second than the held bytes divided by this. One that
+/// completes its message within half a minute isn't slow.
 constexpr std::size_t progress_divisor = 32;
 constexpr unsigned samples_per_second = 1'000 / memory_budget::sample_interval_ms;
 
--- a/libraries/http1/memory_budget.hpp
+++ b/libraries/http1/memory_budget.hpp
@@ -62,7 +62,7 @@
     bool try_accept_connection();
     /// True if a connection can be opened. May give up another one.
     bool try_open_connection() { return make_connection_room(options_.max_connections); }
-    /// Looks at the progress of all connections. Must be called every `sample_interval_ms`.
+    /// Records the progress of all connections. Must be called every `sample_interval_ms`.
     void sample();
 
     std::size_t max_bytes() const { return options_.max_bytes; }
@@ -109,7 +109,7 @@
     memory_account(memory_account const&) = delete;
     memory_account& operator=(memory_account const&) = delete;
 
-    /// The connection is closed. Its charges stay until they are released.
+    /// Ends the account when its connection is closed. Its charges stay until they are released.
     void detach();
 
 private:
--- a/libraries/http1/stream_socket.hpp
+++ b/libraries/http1/stream_socket.hpp
@@ -52,6 +52,7 @@
     void connect(address const& to, duration unacknowledged_timeout);
     /// Accepts a connection from a listening handle. Returns false if there is none to accept.
     bool accept(uv_stream_t* listening_handle, duration unacknowledged_timeout);
+    /// Writes the head and then the body, which is shared and not copied.
     void write(std::string head, message_body body = {});
     /// Returns an empty charge for bytes that are held for the peer.
     memory_charge make_charge() const;
--- a/libraries/net/event_loop.cpp
+++ b/libraries/net/event_loop.cpp
@@ -99,8 +99,8 @@
         auto const action_copy = static_cast<state*>(handle->data)->action;
         action_copy();
     };
-    // The loop's time is that of its last look at the clock. After a long callback, or before
-    // `run`, the timer would be due too early.
+    // libuv counts from the time that the loop cached at the start of its iteration. After a long
+    // callback, or before `run`, the timer would be due too early.
     uv_update_time(state_->handle.loop);
     uv_timer_start(&state_->handle, on_timer, to_milliseconds(delay), to_milliseconds(interval));
 }
