--- a/libraries/core/clock.hpp
+++ b/libraries/core/clock.hpp
@@ -30,8 +30,8 @@
 };
 
 /// The time since the machine's boot. It also advances while the process is stopped and, unlike
-/// `std::chrono::steady_clock`, while the machine is suspended: what was known before would
-/// otherwise seem newer than it is.
+/// `std::chrono::steady_clock`, while the machine is suspended. Otherwise what was known before
+/// would seem newer than it is.
 class system_clock_source final : public clock_source
 {
 public:
--- a/libraries/discovery/directives_confirmation.hpp
+++ b/libraries/discovery/directives_confirmation.hpp
@@ -25,7 +25,8 @@
     /// A round ends with a proof of at most this age; after an older one the next entry is asked.
     duration sufficient_age = std::chrono::milliseconds(1'200);
     /// Once the newest proof is older than this, plus a random part of `store_age_spread`, the
-    /// entry reads the store itself. The random part lets others ask the first that did.
+    /// entry reads the store itself. The random part spreads these reads: the first entry that gets
+    /// an answer can pass its proof on to the others.
     duration store_age = std::chrono::milliseconds(1'500);
     duration store_age_spread = std::chrono::milliseconds(1'000);
     /// Time from one such read to the next. It doubles up to four times this until a proof arrives.
@@ -66,7 +67,8 @@
 /// moment of sending the question less its stated age. So every delay makes a proof older, never
 /// newer, and no two clocks are compared.
 ///
-/// Answers this load: withdrawn keys at entries that are cut off, frozen, or behind a slow store.
+/// `key_trust` needs the proof to refuse withdrawn keys also at entries that are cut off, frozen,
+/// or behind a slow store.
 class directives_confirmation
 {
 public:
@@ -90,7 +92,7 @@
     void handle_store_answer(store_position applied, time_point call_started);
     /// Takes the position of the applied directives after it has changed.
     void handle_applied(store_position applied);
-    /// The answer to another entry's question.
+    /// Returns the answer to another entry's question.
     wire::directives_proof answer(wire::directives_question const& question, time_point now);
     /// Takes another entry's answer.
     confirmation_actions handle_proof(wire::directives_proof const& proof, time_point now);
--- a/libraries/dispatch/place_relay.cpp
+++ b/libraries/dispatch/place_relay.cpp
@@ -9,10 +9,11 @@
 namespace {
 
 constexpr std::uint64_t relay_hash_seed = 0x706c'6163'6572'656c;
-/// A relay that is silent for longer no longer stands for its place. Relays report in full twice a
-/// second.
+/// After a longer silence of a place's relay, the reports of the place's single entries are applied
+/// again. Relays report in full twice a second.
 constexpr duration relay_lifetime = std::chrono::milliseconds(1'600);
-/// A relay that has missed a full report is no longer in the way of another one.
+/// After a longer silence of a relay, so that a full report is missing, another relay's changes are
+/// applied.
 constexpr duration full_report_timeout = std::chrono::milliseconds(700);
 
 bool is_live(member_view const& member, instance_name const& self)
--- a/libraries/dispatch/place_slot_sums.hpp
+++ b/libraries/dispatch/place_slot_sums.hpp
@@ -22,8 +22,8 @@
     private:
         friend class place_slot_sums;
         std::unordered_map<std::uint32_t, std::uint16_t> told_;
-        /// Upstreams that became idle since all sums were told. Their zeros are told once more, in
-        /// case that a datagram was lost.
+        /// Upstreams that became idle since all sums were last told. Their zeros are told once
+        /// more, in case a datagram was lost.
         std::unordered_set<std::uint32_t> became_idle_;
     };
 
--- a/libraries/dispatch/transfer_size.cpp
+++ b/libraries/dispatch/transfer_size.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr double weight_of_newest = 0.02;
-/// So few bytes are less than the heads, which all requests have alike.
+/// Bodies up to this size cost nothing: the heads, which all requests have, are larger.
 constexpr double free_bytes = 500;
 constexpr double cost_ms_per_byte = 0.02;
 constexpr double max_cost_ms = 250;
@@ -17,7 +17,7 @@
 void transfer_size::add(std::size_t bytes)
 {
     auto const newest = static_cast<double>(bytes);
-    // From zero on, so that a few large bodies at the start decide nothing.
+    // The mean starts at zero, so that a few large bodies at the start don't change placement.
     mean_bytes_ += weight_of_newest * (newest - mean_bytes_);
 }
 
--- a/libraries/routing/routing_document.hpp
+++ b/libraries/routing/routing_document.hpp
@@ -76,7 +76,7 @@
     std::vector<route> routes;
     std::vector<service_settings> services;
     caller_limits limits;
-    /// Whether callers identify themselves by keys, except on public routes.
+    /// True if callers must identify themselves by keys, except on public routes.
     bool identifies_callers = false;
     std::vector<team_settings> teams;
 };
