--- a/services/burdockstep_gateway/discovery/directives_confirmer.hpp
+++ b/services/burdockstep_gateway/discovery/directives_confirmer.hpp
@@ -31,7 +31,7 @@
     void update_activity();
     void execute(confirmation_actions const& actions);
     void publish();
-    /// How often a read that waits to be repeated is repeated early at most.
+    /// The least time between the start of a failed read and its early repeat.
     duration hasten_interval() const;
     void schedule_tick();
 
@@ -41,7 +41,7 @@
     directives_confirmation confirmation_;
     timer tick_timer_;
     std::optional<time_point> published_;
-    std::size_t entries_ = 0; ///< Listed ones.
+    std::size_t entries_ = 0; ///< Number of listed entries.
 };
 
 } // namespace burdockstep::gateway
--- a/services/burdockstep_gateway/memory/memory_task.cpp
+++ b/services/burdockstep_gateway/memory/memory_task.cpp
@@ -16,8 +16,9 @@
 constexpr std::size_t operators_memory_divisor = 16;
 /// Descriptors for files and for sockets that aren't bounded here: listeners, peers and the store.
 constexpr std::size_t own_descriptors = 32;
+/// Descriptors are divided into this many parts.
 constexpr std::size_t descriptor_parts = 16;
-constexpr std::size_t accepted_parts = 11; ///< Caller connections are accepted up to this many.
+constexpr std::size_t accepted_parts = 11; ///< For callers' connections.
 constexpr std::size_t callers_parts = 13;  ///< Caller and upstream connections together.
 constexpr std::size_t operators_parts = 1;
 /// The process has ceased to refuse when it hasn't refused anything for this long.
@@ -84,7 +85,7 @@
         return;
     last_refusal_at_.reset();
     log_.info(
-        "ends to refuse",
+        "no longer refuses",
         {field("requests_and_answers", counters.refused_bytes - logged_counters_.refused_bytes),
          field("connections", counters.refused_connections - logged_counters_.refused_connections),
          field("given_up", counters.given_up - logged_counters_.given_up)});
--- a/services/burdockstep_gateway/memory/memory_task.hpp
+++ b/services/burdockstep_gateway/memory/memory_task.hpp
@@ -1,4 +1,5 @@
-/// Bounds what the process holds for others, and reports when it begins and ends to refuse.
+/// Bounds what the process holds for others, and logs when it begins to refuse and when it no
+/// longer does.
 #pragma once
 
 #include "services/burdockstep_gateway/task.hpp"
@@ -32,7 +33,7 @@
     gateway_context& context_;
     logger log_{"memory"};
     timer sample_timer_;
-    http1::memory_budget_counters logged_counters_; ///< When refusing began.
+    http1::memory_budget_counters logged_counters_; ///< Those when refusing last ended.
     std::uint64_t last_refusals_ = 0;
     std::optional<time_point> last_refusal_at_; ///< Set while the process is refusing.
 };
--- a/services/burdockstep_gateway/requests/place_reports.hpp
+++ b/services/burdockstep_gateway/requests/place_reports.hpp
@@ -22,6 +22,7 @@
     /// `own_counts` returns all counts of this entry that aren't zero.
     place_reports(gateway_context& context, std::function<counts()> own_counts);
 
+    /// Takes over the membership's view, and the delays that follow from it.
     void update_members(std::vector<member_view> const& members, report_delays const& delays);
     /// Whether the entries of this region report only to their own place.
     bool uses_relays() const { return plan_.uses_relays; }
--- a/services/burdockstep_gateway/requests/quota_exchange.cpp
+++ b/services/burdockstep_gateway/requests/quota_exchange.cpp
@@ -12,7 +12,7 @@
 /// Questions that arise within this time go to an owner in one datagram.
 constexpr duration question_delay = std::chrono::milliseconds(2);
 constexpr duration log_interval = std::chrono::seconds(1);
-/// So many teams, the first ones seen, have labels in the metrics and lines in the log.
+/// This many teams, the first ones seen, have labels in the metrics and lines in the log.
 constexpr std::size_t max_labelled_teams = 32;
 
 constexpr std::array<char const*, quota_verdict_count> verdict_names{"admitted", "pending",
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -28,13 +28,14 @@
 /// This part of the limit is left for the way of a request to its upstream, repeats included, and
 /// so that callers have time to turn to an entry that is in touch.
 constexpr duration key_use_margin = std::chrono::milliseconds(1'200);
-/// How long ago the known keys must have been complete for another key to be denied. A key must be
-/// known everywhere seconds after it was added, so a denial within this is no error.
+/// An unknown key is denied if the known keys were proven complete less than this time ago. A new
+/// key needs to be known everywhere only some seconds after it was added.
 constexpr duration key_denial_limit = std::chrono::milliseconds(2'000);
 /// Refused requests ask for an early confirmation of keys at most this often.
 constexpr duration confirmation_request_interval = std::chrono::milliseconds(100);
 
-/// Bodies under way to one upstream: as many largest ones, or at least so many bytes.
+/// The bodies under way to one upstream may take this many times the largest permitted body, and in
+/// any case the number of bytes below.
 constexpr std::size_t max_largest_bodies_per_upstream = 4;
 constexpr std::size_t min_body_bytes_per_upstream = std::size_t{64} * 1024 * 1024;
 
