review: a stalled entry's quota questions, the memory budget under re-entry, and proofs of unreadable documents

What a second reader found in the new parts, mended before the landing; each of the first five has a test that failed before: - An entry that stalled for longer than a lease dropped its open questions without giving them up: the share was never asked again, and its team got 429 within its quota. Late batches are given up now. - Shares that were never asked counted as empty: callers got 429 where the owners were silent. Only a share that has answered counts. - A charge that shrank while room was made for its growth was released twice, and the count of used memory could wrap. - A peer whose turn began counted as slow at once. Its second begins with its turn. - A late verdict on a quota sent a request that a planned stop would cut. - A send for which this process had no room was booked as the upstream's refusal: the upstream got no requests for 30 ms and the retry budget paid. It is a send that wasn't begun now, and refused as not run. - Proofs counted for a document that couldn't be parsed; answers of overlapping polls could replace newer ones; requests that waited for a verdict when the last quota went stayed until their deadline; an answer that was dropped before its head had come counted as an answer. These have no test of their own.

--- a/libraries/forwarding/forwarding_callers.cpp
+++ b/libraries/forwarding/forwarding_callers.cpp
@@ -40,8 +40,8 @@
     }
 }
 
-void forwarding_engine::handle_unpermitted_send(pending_request& request, time_point now,
-                                                commands& out)
+void forwarding_engine::handle_unbegun_send(pending_request& request, refusal reason,
+                                            time_point now, commands& out)
 {
     if (request.discards_answer) {
         finish(request, now);
@@ -50,7 +50,7 @@
     auto& dispatched = std::get<dispatched_request>(request.stage);
     request.stage =
         std::move(dispatched).return_to_waiting(not_run_evidence::from_send_not_begun());
-    end_with_refusal(request, refusal::unconfirmed_key, now, out);
+    end_with_refusal(request, reason, now, out);
 }
 
 bool forwarding_engine::take_quota_token(pending_request& request, time_point now, commands& out)
@@ -109,6 +109,10 @@
         return out;
     }
     request.holds_quota_token = true;
+    if (!stop_admission_.may_send(request.deadline)) {
+        end_with_refusal(request, refusal::stopping, now, out);
+        return out;
+    }
     place_new_request(request, now, out);
     return out;
 }
--- a/libraries/forwarding/forwarding_endings.cpp
+++ b/libraries/forwarding/forwarding_endings.cpp
@@ -82,7 +82,10 @@
         handle_lost_send(request, now, out);
         break;
     case send_result::not_permitted:
-        handle_unpermitted_send(request, now, out);
+        handle_unbegun_send(request, refusal::unconfirmed_key, now, out);
+        break;
+    case send_result::no_room_here:
+        handle_unbegun_send(request, refusal::no_room, now, out);
         break;
     }
     place_waiting(service, now, out);
@@ -250,7 +253,8 @@
     if (found == trackers_.end())
         return;
     bool const tells_of_upstream = found->second.incarnation() == request.incarnation &&
-                                   report.result != send_result::not_permitted;
+                                   report.result != send_result::not_permitted &&
+                                   report.result != send_result::no_room_here;
     if (tells_of_upstream)
         found->second.record_send_end(report, now);
     else
--- a/libraries/forwarding/forwarding_engine.cpp
+++ b/libraries/forwarding/forwarding_engine.cpp
@@ -77,6 +77,8 @@
         return "broken";
     case send_result::not_permitted:
         return "not-permitted";
+    case send_result::no_room_here:
+        return "no-room-here";
     }
     return "unknown";
 }
--- a/libraries/forwarding/forwarding_engine.hpp
+++ b/libraries/forwarding/forwarding_engine.hpp
@@ -301,7 +301,8 @@
     /// go to another entry at once.
     void refuse_unconfirmed_waiting(time_point now, commands& out);
     /// Refuses a request whose send wasn't begun.
-    void handle_unpermitted_send(pending_request& request, time_point now, commands& out);
+    void handle_unbegun_send(pending_request& request, refusal reason, time_point now,
+                             commands& out);
     /// Asks the quota gate. Returns false if the request has to wait for the verdict or was
     /// refused.
     bool take_quota_token(pending_request& request, time_point now, commands& out);
--- a/libraries/forwarding/forwarding_messages.hpp
+++ b/libraries/forwarding/forwarding_messages.hpp
@@ -53,10 +53,11 @@
     other_instance, ///< Another instance uses the address now and rejected the request.
     not_connected,  ///< The connection failed, so no byte of the request was sent.
     broken,         ///< The send failed after it may have reached the upstream: it may have run.
-    not_permitted   ///< It wasn't begun: the caller's key was no longer known well enough.
+    not_permitted,  ///< It wasn't begun: the caller's key was no longer known well enough.
+    no_room_here    ///< It wasn't begun: this process has no memory or descriptor left for it.
 };
 
-constexpr std::size_t send_result_count = static_cast<std::size_t>(send_result::not_permitted) + 1;
+constexpr std::size_t send_result_count = static_cast<std::size_t>(send_result::no_room_here) + 1;
 /// The name of a result in logs, such as "not-connected".
 char const* name_of(send_result result);
 
--- a/libraries/forwarding/upstream_tracker.cpp
+++ b/libraries/forwarding/upstream_tracker.cpp
@@ -119,6 +119,7 @@
         break;
     case send_result::other_instance:
     case send_result::not_permitted:
+    case send_result::no_room_here:
         break;
     case send_result::not_connected:
         eject(now);
--- a/libraries/http1/memory_budget.cpp
+++ b/libraries/http1/memory_budget.cpp
@@ -170,7 +170,8 @@
 
 void memory_account::sample()
 {
-    if (!has_progress()) {
+    bool const is_peers_turn = holder_->awaits_peer();
+    if (is_peers_turn && !has_progress()) {
         ++samples_without_progress_;
         return;
     }
@@ -194,13 +195,15 @@
 
 bool memory_charge::try_resize(std::size_t bytes)
 {
-    if (account_ != nullptr && bytes > bytes_ &&
-        !account_->budget_->try_hold(*account_, bytes - bytes_))
-        return false;
-    if (bytes > bytes_)
-        bytes_ = bytes;
-    else
+    if (bytes <= bytes_) {
         resize(bytes);
+        return true;
+    }
+    std::size_t const added_bytes = bytes - bytes_;
+    if (account_ != nullptr && !account_->budget_->try_hold(*account_, added_bytes))
+        return false;
+    // Connections that were given up for it may have shrunk this charge.
+    bytes_ += added_bytes;
     return true;
 }
 
--- a/libraries/teams/team_quotas.cpp
+++ b/libraries/teams/team_quotas.cpp
@@ -193,6 +193,7 @@
     if (had_owner && former == share.owner)
         return;
     share.silences = 0;
+    share.is_answered = false;
     share.closed_until = now;
 }
 
@@ -254,6 +255,7 @@
     share_use& share = use.shares[grant.share.index];
     share.silences = 0;
     share.closed_until = now + grant.wait;
+    share.is_answered = true;
     if (grant.granted == 0)
         return;
     use.tokens.add(grant.granted, now);
@@ -303,7 +305,7 @@
     bool is_over_quota = false;
     for (share_use const& each : use.shares) {
         opens_at = std::min(opens_at, each.closed_until);
-        is_over_quota = is_over_quota || (each.has_owner && each.silences == 0);
+        is_over_quota = is_over_quota || (each.has_owner && each.is_answered && each.silences == 0);
     }
     duration const until_open = std::max(opens_at - now, duration(tick_interval));
     if (!is_over_quota)
@@ -377,17 +379,17 @@
         return;
     open_batch const batch = std::move(found->second);
     open_batches_.erase(found);
-    std::size_t const count = std::min(grants.size(), batch.questions.size());
-    for (std::size_t i = 0; i < count; ++i) {
+    for (std::size_t i = 0; i < batch.questions.size(); ++i) {
         quota_question const& question = batch.questions[i];
-        quota_grant grant = grants[i];
         team_use* const use = find_use(question.share.team);
-        if (grant.share != question.share || use == nullptr ||
-            question.share.index >= use->shares.size())
+        if (use == nullptr || question.share.index >= use->shares.size())
             continue;
-        grant.granted = std::min(grant.granted, question.wanted);
         if (!batch.is_given_up)
             use->shares[question.share.index].asked_for = 0;
+        if (i >= grants.size() || grants[i].share != question.share)
+            continue;
+        quota_grant grant = grants[i];
+        grant.granted = std::min(grant.granted, question.wanted);
         apply_grant(*use, grant, batch.sent_at + quota_lease, now);
     }
     for (quota_question const& each : batch.questions) {
@@ -416,8 +418,13 @@
     /// An answer takes one round trip to another region and the time of two busy processes.
     constexpr duration max_answer_time = std::chrono::milliseconds(70);
     // Numbers rise with time.
-    while (!open_batches_.empty() && now >= open_batches_.begin()->second.sent_at + quota_lease)
+    while (!open_batches_.empty() && now >= open_batches_.begin()->second.sent_at + quota_lease) {
+        open_batch expired = std::move(open_batches_.begin()->second);
         open_batches_.erase(open_batches_.begin());
+        // After a stall of this process it wasn't given up before.
+        if (!expired.is_given_up)
+            give_up_batch(expired, now);
+    }
     for (auto& [number, batch] : open_batches_) {
         if (now < batch.sent_at + max_answer_time)
             break;
--- a/libraries/teams/team_quotas.hpp
+++ b/libraries/teams/team_quotas.hpp
@@ -104,6 +104,7 @@
         std::uint8_t silences = 0;   ///< Questions in a row that weren't answered.
         quota_distance distance = quota_distance::other_region;
         bool has_owner = false;
+        bool is_answered = false;  ///< Its owner has answered at least once.
         bool is_collected = false; ///< The question hasn't been sent yet.
     };
     struct waiting_request
--- a/services/burdockstep_gateway/discovery/directives_confirmer.cpp
+++ b/services/burdockstep_gateway/discovery/directives_confirmer.cpp
@@ -33,6 +33,9 @@
 
 void directives_confirmer::handle_applied()
 {
+    // What an unreadable document says of keys isn't applied, whatever its position.
+    if (reader_.is_document_outdated())
+        return;
     confirmation_.handle_applied(reader_.last_change());
     update_activity();
     publish();
@@ -72,7 +75,8 @@
     else if (auto const* const proof = std::get_if<directives_proof_received>(&new_event)) {
         store_monitor_.record_peer_position(proof->proof.position);
         confirmation_.note_era(store_monitor_.era());
-        execute(confirmation_.handle_proof(proof->proof, now));
+        if (!reader_.is_document_outdated())
+            execute(confirmation_.handle_proof(proof->proof, now));
     }
     else if (std::holds_alternative<key_confirmation_wanted>(new_event)) {
         execute(confirmation_.want_early(now));
--- a/services/burdockstep_gateway/discovery/directives_reader.cpp
+++ b/services/burdockstep_gateway/discovery/directives_reader.cpp
@@ -173,6 +173,10 @@
                                      store_call const& call)
 {
     oldest_valid_call_ = call.number + 1;
+    // Of calls that overlap, the one that began later may hold less.
+    bool const is_outdated = !call.is_full_read && answer.position < position_;
+    if (is_outdated)
+        return;
     if (call.is_full_read)
         full_read_pending_ = false;
     update_evacuations(answer, call.is_full_read);
--- a/services/burdockstep_gateway/discovery/directives_reader.hpp
+++ b/services/burdockstep_gateway/discovery/directives_reader.hpp
@@ -50,6 +50,8 @@
     void note_history_replaced(store_era era);
 
     std::shared_ptr<routing_document const> const& document() const { return routing_document_; }
+    /// True if the newest document couldn't be parsed, so that an older one is in use.
+    bool is_document_outdated() const { return document_is_unreadable_; }
     /// Position of the store at which the applied directives last changed. Entries announce it to
     /// each other.
     store_position last_change() const { return last_change_; }
--- a/services/burdockstep_gateway/requests/quota_exchange.cpp
+++ b/services/burdockstep_gateway/requests/quota_exchange.cpp
@@ -126,9 +126,8 @@
     if (quotas_.is_active() == was_active)
         return;
     if (was_active) {
-        tick_timer_.stop();
         log_timer_.stop();
-        return;
+        return; // The last tick stops its timer once no request waits for a verdict.
     }
     tick_timer_.start_periodic(team_quotas::tick_interval, [this] { tick(); });
     log_timer_.start_periodic(log_interval, [this] { log_teams_over_quota(); });
@@ -200,6 +199,9 @@
     quotas_.tick(context_.clock.now());
     deliver_verdicts();
     schedule_output();
+    bool const has_ended = !quotas_.is_active() && quotas_.requests_waiting() == 0;
+    if (has_ended)
+        tick_timer_.stop();
 }
 
 void quota_exchange::count(team_settings const& team, quota_answer const& answer)
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -193,9 +193,7 @@
         report.result = send_result::broken;
         break;
     case http1::call_end::no_room:
-        // As if the upstream had no room: the request hasn't run, and nothing is wrong there.
-        report.result = send_result::shed;
-        report.status = status_unavailable;
+        report.result = send_result::no_room_here;
         break;
     }
     if (result.end == http1::call_end::broken && result.on_reused_connection)
@@ -229,7 +227,9 @@
     auto const exchange = exchanges_.extract(id);
     execute(engine_.handle_caller_disconnect(id, now));
     // A request that isn't idempotent stays under way without its caller: its answer has come.
-    execute(engine_.handle_send_end(id, dialect_.read_answer(result.head), now));
+    bool const has_head = result.head.status != 0;
+    execute(engine_.handle_send_end(
+        id, has_head ? dialect_.read_answer(result.head) : send_end_report{}, now));
     if (exchange.empty())
         return;
     http1::exchange& http_exchange = *exchange.mapped();
--- a/tests/unit/memory_budget_test.cpp
+++ b/tests/unit/memory_budget_test.cpp
@@ -215,3 +215,44 @@
     CHECK(!lately_quiet.given_up);
     LONGS_EQUAL(2, budget->connections());
 }
+
+TEST(memory_budget, a_charge_that_shrinks_while_it_grows_is_counted_once)
+{
+    fake_holder& growing = add_holder(600 * kib);
+    fake_holder& slow = add_holder(200 * kib);
+    struct shrinking_holder final : memory_holder
+    {
+        std::uint64_t moved_bytes() const override { return 0; }
+        bool awaits_peer() const override { return true; }
+        void give_up() override
+        {
+            own.resize(0);
+            other->resize(0);
+        }
+        memory_charge own;
+        memory_charge* other = nullptr;
+    } reentrant;
+    reentrant.own = memory_charge(budget->open_account(reentrant));
+    reentrant.other = &growing.charge;
+    CHECK(reentrant.own.try_resize(90 * kib));
+    slow.is_peers_turn = false;
+    pass_one_second({});
+    CHECK(growing.charge.try_resize(690 * kib));
+    growing.charge.resize(0);
+    slow.charge.resize(0);
+    LONGS_EQUAL(0, budget->used_bytes());
+}
+
+TEST(memory_budget, a_peer_whose_turn_begins_has_a_second_to_make_progress)
+{
+    fake_holder& waiting = add_holder(500 * kib);
+    waiting.is_peers_turn = false;
+    pass_one_second({&waiting});
+    waiting.is_peers_turn = true;
+    fake_holder& other = holders.emplace_back(*budget);
+    CHECK(!other.charge.try_resize(500 * kib));
+    CHECK(!waiting.given_up);
+    pass_one_second({&waiting});
+    CHECK(other.charge.try_resize(500 * kib));
+    CHECK(waiting.given_up);
+}
--- a/tests/unit/team_identification_test.cpp
+++ b/tests/unit/team_identification_test.cpp
@@ -204,6 +204,26 @@
     CHECK(engine->handle_quota_answer(request_id(1), {}, now).empty());
 }
 
+TEST(team_identification, a_late_verdict_sends_nothing_that_a_planned_stop_would_cut)
+{
+    start_with_teams(4, {.requests_per_s = 1, .burst = 1});
+    gate.answer = {.verdict = quota_verdict::pending, .retry_after = {}};
+    submit_with_key("key-n");
+    engine->begin_stop(now + ms(100), now);
+    auto const commands = engine->handle_quota_answer(request_id(1), {}, now);
+    LONGS_EQUAL(503, refusal_status(commands));
+    CHECK(find_command<send_request>(commands) == nullptr);
+}
+
+TEST(team_identification, a_send_without_room_here_blames_no_upstream)
+{
+    start_with_teams(1);
+    submit_with_key("key-n");
+    LONGS_EQUAL(503, refusal_status(end_send(1, send_result::no_room_here)));
+    auto const commands = submit_with_key("key-n");
+    CHECK(find_command<send_request>(commands) != nullptr);
+}
+
 TEST(team_identification, the_adapter_removes_the_key_and_sets_the_team)
 {
     platform::platform_dialect const dialect;
--- a/tests/unit/team_quota_test.cpp
+++ b/tests/unit/team_quota_test.cpp
@@ -432,6 +432,45 @@
     LONGS_EQUAL(0, borrower.requests_waiting());
 }
 
+TEST(team_quota, a_stall_past_the_lease_leaves_no_share_unasked_for_good)
+{
+    team_quotas borrower(instance_name("b"), quota_question_number(1), start_time());
+    team_settings const team = make_limited_team("small", 1, 2);
+    borrower.update_teams({team}, start_time());
+    borrower.update_entries({{.instance = instance_name("o"),
+                              .distance = quota_distance::same_place,
+                              .is_alive = true}},
+                            start_time());
+    time_point now = start_time();
+    borrower.ask(request_id(1), team, now);
+    CHECK(!borrower.take_questions(now).empty());
+    now += ms(300);
+    borrower.tick(now);
+    borrower.take_verdicts();
+    borrower.ask(request_id(2), team, now);
+    CHECK(!borrower.take_questions(now).empty());
+}
+
+TEST(team_quota, shares_that_were_never_asked_make_no_one_over_its_quota)
+{
+    team_quotas borrower(instance_name("b"), quota_question_number(1), start_time());
+    team_settings const team = make_limited_team("large", 100, 100);
+    borrower.update_teams({team}, start_time());
+    borrower.update_entries({{.instance = instance_name("o"),
+                              .distance = quota_distance::same_place,
+                              .is_alive = true}},
+                            start_time());
+    time_point now = start_time();
+    CHECK(borrower.ask(request_id(1), team, now).verdict == quota_verdict::pending);
+    for (; now <= start_time() + ms(200); now += team_quotas::tick_interval) {
+        borrower.tick(now);
+        borrower.take_questions(now);
+    }
+    auto const verdicts = borrower.take_verdicts();
+    LONGS_EQUAL(1, verdicts.size());
+    CHECK(verdicts[0].answer.verdict == quota_verdict::undecided);
+}
+
 TEST(team_quota, state_is_kept_only_for_teams_seen_lately)
 {
     team_quotas lone(instance_name("e"), quota_question_number(1), start_time());
