Free the body of a request that is refused while it arrives

Callers that sent bodies in chunks, many at once and over the limit, brought a gateway of 64 MB to 71 MB; bodies over the limit behind a request whose answer was still due, to 77 MB. A process over its machine's memory is ended, with everybody's requests.

Cause: a refused body was freed by assigning an empty string. The standard library keeps the block of a string that is assigned a short one, so the memory stayed, without a charge, until the connection object went: a loop iteration later at best, and with an earlier request under way not before its answer. Budget and charges were right; what they counted as free wasn't. Ruled out by trials: blocks that growing bodies leave on the heap (other growth steps: 68 MB).

Change: such strings are freed by swapping them with an empty one.

--- a/libraries/http1/message_body.hpp
+++ b/libraries/http1/message_body.hpp
@@ -17,6 +17,12 @@
 void append_to_body(std::string& body, std::string_view bytes, std::optional<std::uint64_t> length,
                     std::size_t max_bytes);
 
+/// Empties a string and frees its memory, which assigning an empty string may keep.
+inline void free_string(std::string& text)
+{
+    std::string().swap(text);
+}
+
 /// Shared, unchangeable bytes and the charge for them.
 class message_body
 {
--- a/libraries/http1/message_reader.cpp
+++ b/libraries/http1/message_reader.cpp
@@ -1,5 +1,7 @@
 #include "libraries/http1/message_reader.hpp"
 
+#include "libraries/http1/message_body.hpp"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -227,8 +229,9 @@
 {
     stopped_ = true;
     head_ = {};
-    header_name_ = {};
-    header_value_ = {};
+    free_string(head_.target);
+    free_string(header_name_);
+    free_string(header_value_);
 }
 
 bool message_reader::read_end()
--- a/libraries/http1/server_connection.cpp
+++ b/libraries/http1/server_connection.cpp
@@ -92,7 +92,8 @@
 void server_connection::discard_partial_request()
 {
     partial_head_ = {};
-    partial_body_ = std::string();
+    free_string(partial_head_.target);
+    free_string(partial_body_);
     partial_charge_.resize(0);
     reader_.discard();
 }
--- a/tests/process/memory_site.py
+++ b/tests/process/memory_site.py
@@ -2,6 +2,7 @@
 of it. For the tests of the memory that a process holds for others."""
 import asyncio
 import json
+import os
 import pathlib
 import re
 import resource
@@ -19,6 +20,13 @@
 MAX_BODY_BYTES = 4 * BYTES_PER_MB
 LARGE_ANSWER_BYTES = 4 * BYTES_PER_MB
 ORDINARY_CALL_LIMIT_S = 30
+# A caller that can't send a part any further goes on after this time.
+PART_LIMIT_S = 30
+CONNECTIONS_END_LIMIT_S = 60
+# To upstreams and the store; they may be opened while a test runs.
+OWN_CONNECTIONS = 16
+# In this time answers reach a caller that doesn't read them.
+ANSWER_TIME_S = 3
 SERVICES = ("ordinary", "uploads", "downloads", "deaf")
 # A sanitizer holds freed memory back and adds its own to each object.
 MEMORY_IS_COMPARABLE = LOAD_FRACTION == 1
@@ -73,12 +81,13 @@
     """One gateway with its store and one upstream of each service."""
 
     def __init__(self, binaries, memory_mb=MEMORY_MB, bound_mb=None, max_body_bytes=MAX_BODY_BYTES,
-                 answer_bytes=LARGE_ANSWER_BYTES, max_descriptors=MAX_DESCRIPTORS):
+                 answer_bytes=LARGE_ANSWER_BYTES, max_descriptors=MAX_DESCRIPTORS,
+                 idle_timeout_ms=60_000):
         self.binaries = pathlib.Path(binaries)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="burdockstep-memory-"))
         self.memory_mb, self.max_body_bytes = memory_mb, max_body_bytes
         self.bound_mb = bound_mb or memory_mb
-        self.max_descriptors = max_descriptors
+        self.max_descriptors, self.idle_timeout_ms = max_descriptors, idle_timeout_ms
         self.upstreams = [Upstream("ordinary"), Upstream("uploads"),
                           Upstream("downloads", answer_bytes), Upstream("deaf", is_deaf=True)]
         self.processes = []
@@ -98,6 +107,7 @@
         self.write_row("op", "config", self.configuration())
         self.start_gateway()
         await self.check_ordinary_call()
+        self.descriptors_at_start = self.open_descriptors()
         return self
 
     async def __aexit__(self, *problem):
@@ -126,7 +136,7 @@
                              "homeRegions": []}} for each in SERVICES]
         return {"version": "r3", "listeners": [{"host": "h", "rules": rules}],
                 "limits": {"headerBytes": MAX_HEAD_BYTES, "maxBodyBytes": self.max_body_bytes,
-                           "headerTimeoutMs": 10_000, "idleTimeoutMs": 60_000},
+                           "headerTimeoutMs": 10_000, "idleTimeoutMs": self.idle_timeout_ms},
                 "clusters": [{"name": each, "healthPath": "/health", "maxConns": 1000,
                               "coldStartS": 0.2, "coldPerS": 1000} for each in SERVICES]}
 
@@ -153,6 +163,29 @@
         text = pathlib.Path(f"/proc/{self.gateway.process.pid}/status").read_text()
         return int(re.search(rf"{field}:\s+(\d+) kB", text)[1]) / 1024
 
+    def queued_mb(self):
+        """Bytes that the operating system holds in the queues of the gateway's connections."""
+        sockets = set()
+        for each in pathlib.Path(f"/proc/{self.gateway.process.pid}/fd").iterdir():
+            try:
+                sockets.add(os.readlink(each))
+            except OSError:
+                pass  # Closed meanwhile.
+        queued_bytes = 0
+        for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            is_listening = fields[3] == "0A"
+            if f"socket:[{fields[9]}]" in sockets and not is_listening:
+                queued_bytes += sum(int(each, 16) for each in fields[4].split(":"))
+        return queued_bytes / BYTES_PER_MB
+
+    def check_memory_with_queues(self):
+        resident_mb, queued_mb = self.status_mb("VmRSS"), self.queued_mb()
+        print(f"resident {resident_mb:.0f} MB, in socket queues {queued_mb:.0f} MB", flush=True)
+        if MEMORY_IS_COMPARABLE:
+            total_mb = resident_mb + queued_mb
+            assert total_mb <= self.bound_mb, f"{total_mb:.0f} MB exceed {self.bound_mb} MB"
+
     def open_descriptors(self):
         return len(list(pathlib.Path(f"/proc/{self.gateway.process.pid}/fd").iterdir()))
 
@@ -183,7 +216,13 @@
         # An eighth stays free for connections of the gateway's own.
         assert descriptors <= self.max_descriptors * 7 / 8, f"{descriptors} descriptors"
 
-    async def check_crowd(self, callers):
+    async def check_connections_end(self):
+        """Connections end whose last answer is sent, also if their callers don't close them."""
+        most = self.descriptors_at_start + OWN_CONNECTIONS
+        await asyncio.to_thread(wait_until, lambda: self.open_descriptors() <= most,
+                                f"at most {most} descriptors", CONNECTIONS_END_LIMIT_S)
+
+    async def check_crowd(self, callers, answered_callers_stay=False):
         """Runs the callers until each has sent what it wants to send or was turned away; checks the
         gateway while they stay, and after they have left."""
         descriptors = []
@@ -196,6 +235,8 @@
         self.check_bounds()
         assert max(descriptors) <= self.max_descriptors * 7 / 8, f"{max(descriptors)} descriptors"
         await self.check_ordinary_call()
+        if answered_callers_stay:
+            await self.check_connections_end()
         self.check_bounds()
         for each in tasks:
             each.cancel()
@@ -208,27 +249,27 @@
     """A caller that sends some parts, and stays until it is turned away. It may send its last part
     again and again, slowly, and it may leave its answers unread."""
 
-    def __init__(self, parts, slow_part=b"", reads=True, starts_after_s=0):
+    def __init__(self, parts, slow_part=b"", reads=True, starts_after_s=0, listener="callers"):
         self.parts, self.slow_part, self.reads = parts, slow_part, reads
-        self.starts_after_s = starts_after_s
+        self.starts_after_s, self.listener = starts_after_s, listener
+        self.receive_buffer_bytes = 0 if reads else 4096
         self.settled = asyncio.Event()
         self.is_open = False
 
     async def run(self, site):
         connection = socket.socket()
         connection.setblocking(False)
-        if not self.reads:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        if self.receive_buffer_bytes:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes)
         loop = asyncio.get_running_loop()
         try:
             await asyncio.sleep(self.starts_after_s)
-            await loop.sock_connect(connection, ("127.0.0.1", site.ports["callers"]))
+            await loop.sock_connect(connection, ("127.0.0.1", site.ports[self.listener]))
             self.is_open = True
             reading = asyncio.create_task(self.read(loop, connection))
             for each in self.parts:
-                await loop.sock_sendall(connection, each)
-            if not self.reads:
-                await asyncio.sleep(3)
+                await self.send(loop, connection, each)
+            await self.wait_for_answers(reading)
             self.settled.set()
             while self.slow_part and not reading.done():
                 await loop.sock_sendall(connection, self.slow_part)
@@ -241,6 +282,17 @@
             self.settled.set()
             connection.close()
 
+    async def send(self, loop, connection, part):
+        """Sends a part, or what the gateway takes of it: it may cease to read from this caller."""
+        try:
+            await asyncio.wait_for(loop.sock_sendall(connection, part), PART_LIMIT_S)
+        except asyncio.TimeoutError:
+            pass
+
+    async def wait_for_answers(self, reading):
+        if not self.reads:
+            await asyncio.sleep(ANSWER_TIME_S)
+
     async def read(self, loop, connection):
         if not self.reads:
             await asyncio.sleep(3600)
@@ -281,6 +333,59 @@
                     chunks]) for number in range(count)]
 
 
+def endless_bodies(count, sent_bytes, listener, framing, chunk_bytes=0, prefix=b""):
+    """Bodies over the limit, of which the callers send much more than the limit, and then drip. They
+    don't close, whatever they are answered."""
+    piece = b"%x\r\n" % chunk_bytes + b"o" * chunk_bytes + b"\r\n" if chunk_bytes else b"o" * 65536
+    body = piece * (sent_bytes // len(piece))
+    return [Caller([prefix + request_head("POST", "/uploads/x", f"o{number}", framing), body],
+                   slow_part=piece, reads=False, listener=listener) for number in range(count)]
+
+
+def pipelined_requests(count, requests, listener):
+    """Requests that are answered at once, one behind the other; no answer is read."""
+    return [Caller([request_head("GET", "/none/x", "p") * requests], reads=False, listener=listener)
+            for _ in range(count)]
+
+
+class StallingCaller(Caller):
+    """A caller that asks for some answers, one after the other, and reads them as fast as they come.
+    Then it asks for more and reads no more."""
+
+    def __init__(self, request, read_answers, unread_answers, answer_bytes):
+        super().__init__([])
+        self.request, self.answer_bytes = request, answer_bytes
+        self.read_answers, self.unread_answers = read_answers, unread_answers
+        self.receive_buffer_bytes = 2 ** 18
+        self.stalled = asyncio.Event()
+
+    async def wait_for_answers(self, reading):
+        stalled = asyncio.create_task(self.stalled.wait())
+        await asyncio.wait((reading, stalled), return_when=asyncio.FIRST_COMPLETED)
+        stalled.cancel()
+        await asyncio.sleep(ANSWER_TIME_S)
+
+    async def read(self, loop, connection):
+        for _ in range(self.read_answers):
+            await loop.sock_sendall(connection, self.request)
+            received = await loop.sock_recv(connection, 65536)
+            if not received.startswith(b"HTTP/1.1 200 "):
+                break
+            left = self.answer_bytes - len(received)
+            while left > 0 and received:
+                received = await loop.sock_recv(connection, 65536)
+                left -= len(received)
+        await loop.sock_sendall(connection, self.request * self.unread_answers)
+        self.stalled.set()
+        await asyncio.sleep(3600)
+
+
+def stalled_answers(count, answer_bytes, read_answers, unread_answers):
+    """Answers that cease to be read when their connections have become fast."""
+    return [StallingCaller(request_head("GET", "/downloads/x", f"s{number}"), read_answers,
+                           unread_answers, answer_bytes) for number in range(count)]
+
+
 def unread_answers(count, interval_s=0.05):
     """One after the other, so that each answer reaches the gateway whole."""
     return [Caller([request_head("GET", "/downloads/x", f"d{number}")], reads=False,
