Read no further requests of a caller that doesn't read its answers

24 callers that sent short requests one behind the other and read none of the answers brought a gateway of 64 MB to 370 MB, at the address for callers (404s), and alike at those for look-ups, readiness and metrics.

Cause: the limit on pipelined requests counts those without an answer. Requests that are answered at once never reach it, and each answer waited in the socket's queue; only its body was charged.

Change: an answer that the operating system hasn't taken counts as pipelined, so after 32 the connection closes after its answers, as it did for 32 unanswered requests. Queued heads are charged. The platform's checks and the readers of metrics, whose answers are long, ask one question at a time: 2 for them.

--- a/libraries/http1/server.hpp
+++ b/libraries/http1/server.hpp
@@ -24,8 +24,9 @@
     /// Longest time without a byte while a request is being received.
     duration request_stall_timeout = std::chrono::seconds(3);
     duration idle_timeout = std::chrono::seconds(15);
-    /// Maximum number of unanswered requests per connection. When it is reached, the server reads
-    /// no further request and closes the connection after the answers.
+    /// Maximum number of requests per connection that are unanswered, or whose answers wait for the
+    /// caller to read. When it is reached, the server reads no further request and closes the
+    /// connection after the answers.
     std::size_t max_pipelined = 32;
 };
 
--- a/libraries/http1/server_connection.cpp
+++ b/libraries/http1/server_connection.cpp
@@ -110,7 +110,8 @@
     if (connection_ended_)
         return;
     // Later requests are neither read nor run; the caller sends them again on a new connection.
-    if (!partial_head_.keep_alive || unanswered_exchanges_.size() + 1 >= limits_.max_pipelined) {
+    std::size_t const pipelined = unanswered_exchanges_.size() + socket_.unsent_writes() + 1;
+    if (!partial_head_.keep_alive || pipelined >= limits_.max_pipelined) {
         closing_after_answers_ = true;
         reader_.stop();
     }
--- a/libraries/http1/stream_socket.cpp
+++ b/libraries/http1/stream_socket.cpp
@@ -86,7 +86,8 @@
     uv_write_t request{};
     std::string head;
     message_body body;
-    state* owner = nullptr; ///< Outlives the request: closing cancels it.
+    memory_charge head_charge; ///< For all but the body, which has its own.
+    state* owner = nullptr;    ///< Outlives the request: closing cancels it.
 };
 
 struct stream_socket::state final : memory_holder
@@ -116,6 +117,7 @@
     bool has_failed = false;
     std::uint64_t read_bytes = 0; ///< Without those after `close_gracefully`.
     std::uint64_t written_bytes = 0;
+    std::size_t unsent_writes = 0;
     std::shared_ptr<memory_account> account;
     memory_charge connection_charge;
 
@@ -260,9 +262,14 @@
     }
     if (sent_bytes == total_bytes)
         return;
-    auto* const request = new write_request{
-        .request = {}, .head = std::move(head), .body = std::move(body), .owner = state_};
+    auto* const request = new write_request{.request = {},
+                                            .head = std::move(head),
+                                            .body = std::move(body),
+                                            .head_charge = make_charge(),
+                                            .owner = state_};
+    request->head_charge.resize(sizeof(write_request) + request->head.size());
     request->request.data = request;
+    ++state_->unsent_writes;
     write_buffers const buffers = unsent_buffers(request->head, request->body, sent_bytes);
     int const started =
         uv_write(&request->request, stream, buffers.data(), static_cast<unsigned>(buffers.size()),
@@ -270,10 +277,12 @@
                      auto* const ended = static_cast<write_request*>(done->data);
                      // The read callback reports the end.
                      ended->owner->has_failed = ended->owner->has_failed || is_failure(status);
+                     --ended->owner->unsent_writes;
                      delete ended;
                  });
     if (started != 0) {
         state_->has_failed = true;
+        --state_->unsent_writes;
         delete request;
     }
 }
@@ -288,6 +297,11 @@
     return state_ == nullptr ? 0 : state_->handle.write_queue_size;
 }
 
+std::size_t stream_socket::unsent_writes() const
+{
+    return state_ == nullptr ? 0 : state_->unsent_writes;
+}
+
 bool stream_socket::has_unread_input() const
 {
     if (state_ == nullptr)
--- a/libraries/http1/stream_socket.hpp
+++ b/libraries/http1/stream_socket.hpp
@@ -58,6 +58,8 @@
     memory_charge make_charge() const;
     /// Number of written bytes that the operating system hasn't accepted yet.
     std::size_t unsent_bytes() const;
+    /// Number of `write` calls with bytes that the operating system hasn't accepted yet.
+    std::size_t unsent_writes() const;
     /// True if bytes have arrived, or the peer has closed its side, and the listener doesn't know
     /// yet.
     bool has_unread_input() const;
--- a/services/burdockstep_gateway/lookups/lookups_task.cpp
+++ b/services/burdockstep_gateway/lookups/lookups_task.cpp
@@ -14,15 +14,17 @@
 /// After the first configuration arrives here, all entries that reach the store have it within this
 /// time.
 constexpr duration startup_convergence_time = std::chrono::milliseconds(1'500);
+/// The platform's checks and metrics readers ask one question at a time. Metrics are long answers.
+constexpr http1::server_limits operators_limits{.max_pipelined = 2};
 
 } // namespace
 
 lookups_task::lookups_task(gateway_context& context, http_dialect const& dialect,
                            std::function<std::string()> metrics)
     : context_(context), dialect_(dialect), collect_metrics_(std::move(metrics)),
-      readiness_server_(context.loop, context.clock, {}, context.budgets.operators),
+      readiness_server_(context.loop, context.clock, operators_limits, context.budgets.operators),
       lookups_server_(context.loop, context.clock, {}, context.budgets.callers),
-      metrics_server_(context.loop, context.clock, {}, context.budgets.operators)
+      metrics_server_(context.loop, context.clock, operators_limits, context.budgets.operators)
 {}
 
 result<void> lookups_task::try_start()
--- a/tests/unit/http1_memory_test.cpp
+++ b/tests/unit/http1_memory_test.cpp
@@ -7,6 +7,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -246,3 +247,32 @@
     client->start(call_with_body(100), [](auto const&) {});
     run_loop_until([&] { return received_exchanges.size() == 2; });
 }
+
+TEST(http1_memory, caller_that_reads_no_answers_gets_no_further_ones)
+{
+    constexpr std::size_t request_count = 100'000;
+    std::size_t answered = 0;
+    server = std::make_unique<http1::server>(loop, clock, http1::server_limits{}, budget);
+    auto const listen_result = server->try_listen(
+        loopback_any_port(), [&answered](std::shared_ptr<http1::exchange> const& each) {
+            ++answered;
+            each->reply({.status = 200, .headers = {}, .body = std::string(kib, 'a')});
+        });
+    std::string requests;
+    for (std::size_t i = 0; i < request_count; ++i)
+        requests += "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::atomic<bool> has_sent_all = false;
+    std::thread caller([&, to = listen_result.value()] {
+        int const connection = connect_and_send(to, requests);
+        has_sent_all = true;
+        close(connection);
+    });
+    std::size_t most_used_bytes = 0;
+    run_loop_until([&] {
+        most_used_bytes = std::max(most_used_bytes, budget->used_bytes());
+        return has_sent_all.load();
+    });
+    caller.join();
+    CHECK(answered < request_count);
+    CHECK(most_used_bytes <= budget_bytes);
+}
