Bound the unsent bytes that the operating system holds for a connection

24 callers that read fast at first and then ceased had 65 MB in the queues of a gateway's sockets, beside 7 MB in the process: 72 MB of the machine's 64. docs/design/memory.md named these bytes as open.

Cause: the operating system takes megabytes of a connection that has been fast, and the budget forgets what it has taken.

Change: it takes no more while 16 KiB wait to be sent (TCP_NOTSENT_LOWAT). Bytes on their way don't count, so the throughput isn't limited by the round trip. The rest stays with the process, where the budget sees it and slow readers are given up first.

--- a/libraries/http1/stream_socket.cpp
+++ b/libraries/http1/stream_socket.cpp
@@ -15,6 +15,10 @@
 
 constexpr std::size_t read_buffer_bytes = std::size_t{64} * 1024;
 
+/// The operating system takes no more bytes of a connection while this many wait to be sent. Bytes
+/// that have been sent and not acknowledged don't count, so the throughput isn't limited.
+constexpr unsigned max_queued_bytes = 16 * 1024;
+
 /// TCP keep-alive finds a peer that vanished before it closed its side of the connection.
 constexpr unsigned keep_alive_probe_delay_s = 5;
 
@@ -69,14 +73,18 @@
     return status < 0 && status != UV_EAGAIN && status != UV_ECANCELED;
 }
 
-void set_unacknowledged_timeout(uv_tcp_t& handle, duration limit)
+void set_tcp_option(uv_tcp_t const& handle, int option, unsigned value)
 {
     uv_os_fd_t descriptor = -1;
-    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &descriptor) != 0)
-        return;
+    if (uv_fileno(reinterpret_cast<uv_handle_t const*>(&handle), &descriptor) == 0)
+        setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof value);
+}
+
+void set_unacknowledged_timeout(uv_tcp_t const& handle, duration limit)
+{
     auto const milliseconds =
         static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
-    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+    set_tcp_option(handle, TCP_USER_TIMEOUT, milliseconds);
 }
 
 } // namespace
@@ -184,6 +192,7 @@
 {
     uv_tcp_nodelay(&self.handle, 1);
     set_unacknowledged_timeout(self.handle, self.unacknowledged_timeout);
+    set_tcp_option(self.handle, TCP_NOTSENT_LOWAT, max_queued_bytes);
     uv_read_start(
         reinterpret_cast<uv_stream_t*>(&self.handle),
         [](uv_handle_t*, std::size_t, uv_buf_t* buffer) {
--- a/tests/process/memory_site.py
+++ b/tests/process/memory_site.py
@@ -233,6 +233,7 @@
         print(f"{len(callers)} callers, {sum(each.is_open for each in callers)} stay; most "
               f"descriptors {max(descriptors)}", flush=True)
         self.check_bounds()
+        self.check_memory_with_queues()
         assert max(descriptors) <= self.max_descriptors * 7 / 8, f"{max(descriptors)} descriptors"
         await self.check_ordinary_call()
         if answered_callers_stay:
