Close connections whose callers stay after their last answer

96 callers whose bodies were refused as too large (413) kept their connections to a gateway and sent on for as long as they liked; each was read and discarded for good. 80 of them were still connected after a minute.

Cause: after the last answer a connection closes when its caller does, or when descriptors or memory are short. There was no other end, neither for bytes nor for time (docs/design/memory.md named it as open).

Change: it closes once more bytes have arrived than the largest permitted request has, or when the caller has taken no byte for the idle timeout. A caller that is refused in the midst of a permitted request can still send the rest of it and read the refusal.

test_memory_oversized: 80 connections open 60 s later before, none now.

--- a/libraries/http1/server_connection.cpp
+++ b/libraries/http1/server_connection.cpp
@@ -244,8 +244,12 @@
 {
     if (std::exchange(connection_ended_, true))
         return;
+    // A caller that is being refused may still be sending a request inside the limits.
     if (has_just_answered(end))
-        socket_.close_gracefully(owner_.reader_after_end(end));
+        socket_.close_gracefully(
+            {.max_discarded_bytes = limits_.max_head_bytes + limits_.max_body_bytes,
+             .max_stall = std::max(limits_.idle_timeout, idle_timeout_at_answer_)},
+            owner_.reader_after_end(end));
     else
         socket_.close();
     discard_partial_request();
--- a/libraries/http1/stream_socket.cpp
+++ b/libraries/http1/stream_socket.cpp
@@ -100,8 +100,9 @@
 
 struct stream_socket::state final : memory_holder
 {
-    state(event_loop& loop, stream_listener& new_listener, memory_budget& budget)
-        : listener(&new_listener), account(budget.open_account(*this)), connection_charge(account)
+    state(event_loop& owning_loop, stream_listener& new_listener, memory_budget& budget)
+        : loop(owning_loop), listener(&new_listener), account(budget.open_account(*this)),
+          connection_charge(account)
     {
         connection_charge.resize(memory_budget::connection_bytes);
         handle.data = this;
@@ -112,12 +113,16 @@
     state(state const&) = delete;
     state& operator=(state const&) = delete;
 
+    event_loop& loop;
     uv_tcp_t handle{};
     uv_connect_t connect_request{};
     stream_listener* listener = nullptr;
     duration unacknowledged_timeout{};
     uv_shutdown_t shutdown_request{};
     std::function<void(std::size_t)> on_discarded;
+    std::size_t discardable_bytes = 0; ///< Closed once more than these arrive.
+    std::unique_ptr<timer> graceful_close_timer;
+    std::uint64_t moved_bytes_at_check = 0;
     bool closing_gracefully = false;
     bool handle_is_closing = false;
     /// The operating system reports a broken connection to one operation only, and an orderly end
@@ -157,10 +162,28 @@
         return is_orderly ? stream_end::closed : stream_end::reset;
     }
 
+    void discard(std::size_t bytes)
+    {
+        if (on_discarded)
+            on_discarded(bytes);
+        if (bytes > discardable_bytes)
+            close();
+        else
+            discardable_bytes -= bytes;
+    }
+
+    /// Closes a connection whose peer has taken no byte since the last check.
+    void check_graceful_close()
+    {
+        if (moved_bytes() == std::exchange(moved_bytes_at_check, moved_bytes()))
+            close();
+    }
+
     void close()
     {
         if (std::exchange(handle_is_closing, true))
             return;
+        graceful_close_timer.reset();
         uv_close(reinterpret_cast<uv_handle_t*>(&handle),
                  [](uv_handle_t* closed) { delete static_cast<state*>(closed->data); });
     }
@@ -208,8 +231,8 @@
                 // bytes resets the connection, and the peer could lose the last answer.
                 if (size < 0)
                     read_state->close();
-                else if (read_state->on_discarded)
-                    read_state->on_discarded(static_cast<std::size_t>(size));
+                else
+                    read_state->discard(static_cast<std::size_t>(size));
                 return;
             }
             if (size < 0) {
@@ -329,13 +352,19 @@
     std::exchange(state_, nullptr)->close();
 }
 
-void stream_socket::close_gracefully(std::function<void(std::size_t)> on_discarded)
+void stream_socket::close_gracefully(graceful_close_limits limits,
+                                     std::function<void(std::size_t)> on_discarded)
 {
     if (state_ == nullptr || std::exchange(state_->closing_gracefully, true) ||
         state_->handle_is_closing)
         return;
     state_->on_discarded = std::move(on_discarded);
+    state_->discardable_bytes = limits.max_discarded_bytes;
     state_->listener = nullptr;
+    state_->moved_bytes_at_check = state_->moved_bytes();
+    state_->graceful_close_timer = std::make_unique<timer>(state_->loop);
+    state_->graceful_close_timer->start_periodic(
+        limits.max_stall, [state = state_] { state->check_graceful_close(); });
     state_->shutdown_request.data = state_;
     uv_tcp_keepalive(&state_->handle, 1, keep_alive_probe_delay_s);
     int const started =
--- a/libraries/http1/stream_socket.hpp
+++ b/libraries/http1/stream_socket.hpp
@@ -35,6 +35,13 @@
     virtual void on_give_up() = 0;
 };
 
+/// What a peer may do after the last bytes for it have been written.
+struct graceful_close_limits
+{
+    std::size_t max_discarded_bytes = 0; ///< Bytes that still arrive.
+    duration max_stall{};                ///< Time without a byte that the peer takes.
+};
+
 /// A connected or connecting TCP socket. Destroying it closes the socket immediately, unless
 /// `close_gracefully` was called.
 class stream_socket
@@ -68,8 +75,10 @@
     /// more.
     void close();
     /// Sends the remaining bytes and closes this side of the connection. The listener is not called
-    /// any more; bytes that still arrive are discarded and their number passed to the handler.
-    void close_gracefully(std::function<void(std::size_t)> on_discarded);
+    /// any more; bytes that still arrive are discarded and their number passed to the handler. The
+    /// connection is closed when the peer closes its side or a limit is reached.
+    void close_gracefully(graceful_close_limits limits,
+                          std::function<void(std::size_t)> on_discarded);
 
 private:
     struct state;
--- a/tests/process/test_memory_oversized.py
+++ b/tests/process/test_memory_oversized.py
@@ -14,14 +14,16 @@
 async def check_announced_bodies(site):
     await site.check_crowd([each for listener in LISTENERS
                             for each in endless_bodies(CROWD_OF_A_LISTENER, SENT_BYTES, listener,
-                                                       f"Content-Length: {ANNOUNCED_BYTES}")])
+                                                       f"Content-Length: {ANNOUNCED_BYTES}")],
+                           answered_callers_stay=True)
 
 
 async def check_bodies_in_chunks(site):
     await site.check_crowd([each for listener in LISTENERS
                             for chunk_bytes in (1, MAX_BODY_BYTES // 2)
                             for each in endless_bodies(CROWD_OF_A_LISTENER, SENT_BYTES, listener,
-                                                       "Transfer-Encoding: chunked", chunk_bytes)])
+                                                       "Transfer-Encoding: chunked", chunk_bytes)],
+                           answered_callers_stay=True)
 
 
 async def check_bodies_behind_a_request_under_way(site):
