Bound what burdockstepd holds for callers and operators

Crowds of 24 to 240 callers brought a daemon of 64 MB to 107 MB (bodies of calls that stop short of their end), 244 MB (documents to apply), 102 MB (whole bodies for slow upstreams) and, with the sockets' queues, 65 to 83 MB (chunks, answers that aren't read); 600 silent connections took all of its 512 descriptors, and further callers found no way in. Measured with the daemon before this commit, without the setting that it doesn't know.

Cause: it had no budget. h2o takes further bytes of a body without asking, its connections were limited to 4,096 each with 256 KiB, and a body was held three times (h2o's, the request's, the send's). A count of what h2o has taken would come too late: in one iteration of the loop it may take as much as the whole budget.

Change: the callers' and operators' listeners use the HTTP server of the gateway, whose connections ask the budget before they hold more. It has learnt to send answers in parts, in the order of the requests, and to let their writer wait. A body is held once, shared by the request and its sends. New: instance.memory_mb (default 256 MB); half of it for callers, an eighth for operators. Callers get at most half of the descriptors, sends a quarter, operators a 16th. h2o is no longer needed.

--- a/libraries/configuration/daemon_settings.cpp
+++ b/libraries/configuration/daemon_settings.cpp
@@ -8,6 +8,9 @@
 
 constexpr std::int64_t default_lookup_lifetime_ms = 5'000;
 constexpr std::int64_t default_drain_limit_ms = 120'000;
+constexpr integer_range memory_mb_range{.lowest = 64, .highest = 1'048'576};
+constexpr std::int64_t default_memory_mb = 256;
+constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
 
 void read_instance(table_reader& table, daemon_settings& settings)
 {
@@ -21,6 +24,9 @@
         "lookup_lifetime_ms", {.lowest = 100, .highest = 60'000}, default_lookup_lifetime_ms));
     settings.drain_limit = std::chrono::milliseconds(table.integer_or(
         "drain_limit_ms", {.lowest = 1'000, .highest = 3'600'000}, default_drain_limit_ms));
+    settings.memory_bytes =
+        bytes_per_mb *
+        static_cast<std::size_t>(table.integer_or("memory_mb", memory_mb_range, default_memory_mb));
     bool const uses_caller_address =
         settings.callers.port != 0 && settings.callers == settings.operators;
     if (uses_caller_address)
--- a/libraries/configuration/daemon_settings.hpp
+++ b/libraries/configuration/daemon_settings.hpp
@@ -25,6 +25,9 @@
     std::vector<address> seeds; ///< Peers to contact while the platform is unreachable.
     duration lookup_lifetime{}; ///< How long callers may cache a look-up answer.
     duration drain_limit{};     ///< Longest time that a stop waits for requests in progress.
+    /// Memory that the process may use, in bytes. Half of it may be held for callers, and an eighth
+    /// for operators.
+    std::size_t memory_bytes = 0;
 };
 
 /// Valid settings, or the errors found in them. Exactly one of the two is set.
--- a/libraries/http1/message_reader.cpp
+++ b/libraries/http1/message_reader.cpp
@@ -201,6 +201,7 @@
     if (parser_.content_length != no_content_length)
         head_.content_length = parser_.content_length;
     head_.keep_alive = http_should_keep_alive(&parser_) != 0;
+    head_.is_http_1_0 = parser_.http_major == 1 && parser_.http_minor == 0;
     listener_.on_head(std::move(head_));
     return expects_no_body_ || status_allows_no_body() ? continue_without_body : continue_parsing;
 }
--- a/libraries/http1/message_reader.hpp
+++ b/libraries/http1/message_reader.hpp
@@ -21,6 +21,7 @@
     http_headers headers;
     std::optional<std::uint64_t> content_length;
     bool keep_alive = false;
+    bool is_http_1_0 = false; ///< Its sender doesn't know chunked encoding.
 
     /// Memory that the head takes, rounded up.
     std::size_t memory_bytes() const;
--- a/libraries/http1/server.cpp
+++ b/libraries/http1/server.cpp
@@ -115,8 +115,8 @@
     void accept()
     {
         bool const has_room = budget_->try_accept_connection();
-        auto connection =
-            std::make_unique<server_connection>(loop_, clock_, limits_, *budget_, *this);
+        auto connection = std::make_unique<server_connection>(
+            loop_, clock_, ++last_connection_number_, limits_, *budget_, *this);
         if (!connection->accept(reinterpret_cast<uv_stream_t*>(listening_handle_)))
             return;
         // A connection that ends before anything was read tells its caller that nothing has run.
@@ -165,6 +165,7 @@
     address listening_address_;
     std::unordered_map<server_connection*, std::unique_ptr<server_connection>> connections_;
     server_counters counters_;
+    std::uint64_t last_connection_number_ = 0;
     bool closing_after_answers_ = false;
 };
 
@@ -240,6 +241,14 @@
     return state_->connections_.size();
 }
 
+std::size_t server::unanswered_requests() const
+{
+    std::size_t unanswered = 0;
+    for (auto const& [key, connection] : state_->connections_)
+        unanswered += connection->unanswered_requests();
+    return unanswered;
+}
+
 std::size_t server::unsent_bytes() const
 {
     // Only the loop still knows the sockets that are closing gracefully.
--- a/libraries/http1/server.hpp
+++ b/libraries/http1/server.hpp
@@ -46,6 +46,15 @@
     std::string body;
 };
 
+/// Status and headers of an answer whose body follows in parts. Without a length it is sent in
+/// chunks.
+struct streamed_answer_head
+{
+    int status = 200;
+    http_headers headers;
+    std::optional<std::uint64_t> content_length;
+};
+
 /// Why a caller's connection ended.
 enum class connection_end
 {
@@ -75,17 +84,30 @@
 class server_connection;
 
 /// One request and its pending answer. It may outlive its connection.
-class exchange
+class exchange : public std::enable_shared_from_this<exchange>
 {
 public:
-    exchange(server_connection* connection, server_request request)
-        : connection_(connection), request_(std::move(request))
+    exchange(server_connection* connection, std::uint64_t connection_number, server_request request)
+        : connection_(connection), connection_number_(connection_number),
+          request_(std::move(request))
     {}
 
     server_request const& request() const { return request_; }
     /// Sets the answer, which is written after those of all earlier requests of the connection.
     /// Calls after the first do nothing.
     void reply(server_answer answer);
+    /// Starts an answer whose body is written in parts. Calls after `reply` or a first one do
+    /// nothing.
+    void start(streamed_answer_head head);
+    /// Adds a part of the body. Returns false if the writer should wait for `on_writable`.
+    bool write(std::string_view bytes);
+    /// Completes a started answer.
+    void finish();
+    /// Closes the connection so that the caller can tell that a started answer is incomplete. One
+    /// that wasn't started becomes a 502.
+    void break_off();
+    /// Sets a handler that is called when a writer that was told to wait may go on.
+    void on_writable(std::function<void()> handler) { writable_handler_ = std::move(handler); }
     /// Closes the caller's connection without an answer to this request.
     void abort();
     /// Sets a handler that is called if the connection ends before `reply`.
@@ -94,16 +116,41 @@
         disconnect_handler_ = std::move(handler);
     }
     bool is_disconnected() const { return connection_ == nullptr; }
+    /// Address of the caller; empty once the connection has ended.
+    address peer() const;
+    /// Identifies the connection within its server.
+    std::uint64_t connection_number() const { return connection_number_; }
 
 private:
     friend class server_connection;
 
+    /// An answer whose body is written in parts.
+    struct streamed_answer
+    {
+        streamed_answer_head head;
+        std::string unsent; ///< Parts that aren't passed to the socket yet.
+        memory_charge unsent_charge;
+        bool head_is_written = false;
+        bool has_chunks = false; ///< At least one chunk is written.
+        bool is_finished = false;
+        bool writer_waits = false;
+    };
+
+    bool has_complete_answer() const
+    {
+        return answer_.has_value() || (streamed_ && streamed_->is_finished);
+    }
+
     /// Null once the answer is written or the connection has ended.
     server_connection* connection_;
+    std::uint64_t connection_number_;
     server_request request_;
     std::optional<server_answer> answer_;
     memory_charge answer_charge_;
+    std::optional<streamed_answer> streamed_;
     std::function<void(connection_end)> disconnect_handler_;
+    std::function<void()> writable_handler_;
+    bool closes_connection_ = false; ///< As the head of the answer says.
 };
 
 /// Listens on one address and passes each request to a handler.
@@ -129,6 +176,8 @@
     /// Accepts no further connections. Requests on the open ones are still passed to the handler.
     void stop_accepting();
     std::size_t open_connections() const;
+    /// Number of requests that were passed to the handler and aren't answered completely.
+    std::size_t unanswered_requests() const;
     /// Bytes of answers that the operating system hasn't taken over yet, including those of
     /// connections that are closing.
     std::size_t unsent_bytes() const;
--- a/libraries/http1/server_connection.cpp
+++ b/libraries/http1/server_connection.cpp
@@ -20,6 +20,10 @@
 /// When a caller whose request found no room may ask again.
 constexpr int no_room_retry_after_s = 1;
 
+/// The writer of an answer waits while this much of it is unsent.
+constexpr std::size_t max_unsent_answer_bytes = std::size_t{64} * 1024;
+constexpr int status_bad_gateway = 502;
+
 bool status_allows_body(int status)
 {
     return status >= 200 && status != 204 && status != 304;
@@ -35,10 +39,10 @@
 } // namespace
 
 server_connection::server_connection(event_loop& loop, clock_source const& clock,
-                                     server_limits const& limits, memory_budget& budget,
-                                     owner& connection_owner)
-    : clock_(clock), limits_(limits), owner_(connection_owner), socket_(loop, *this, budget),
-      reader_(message_kind::requests, limits.max_head_bytes, *this),
+                                     std::uint64_t number, server_limits const& limits,
+                                     memory_budget& budget, owner& connection_owner)
+    : loop_(loop), clock_(clock), number_(number), limits_(limits), owner_(connection_owner),
+      socket_(loop, *this, budget), reader_(message_kind::requests, limits.max_head_bytes, *this),
       partial_charge_(socket_.make_charge()), last_activity_at_(clock.now()),
       idle_timeout_at_answer_(limits.idle_timeout)
 {}
@@ -118,10 +122,11 @@
     memory_charge body_charge = partial_charge_.split(partial_body_.size());
     memory_charge head_charge = std::exchange(partial_charge_, socket_.make_charge());
     auto const each = std::make_shared<exchange>(
-        this, server_request{
-                  .head = std::exchange(partial_head_, {}),
-                  .body = message_body(std::exchange(partial_body_, {}), std::move(body_charge)),
-                  .head_charge = std::move(head_charge)});
+        this, number_,
+        server_request{.head = std::exchange(partial_head_, {}),
+                       .body =
+                           message_body(std::exchange(partial_body_, {}), std::move(body_charge)),
+                       .head_charge = std::move(head_charge)});
     unanswered_exchanges_.push_back(each);
     owner_.on_request(each);
 }
@@ -174,26 +179,118 @@
 
 void server_connection::write_ready_answers()
 {
-    while (!connection_ended_ && !unanswered_exchanges_.empty() &&
-           unanswered_exchanges_.front()->answer_) {
+    while (!connection_ended_ && !unanswered_exchanges_.empty()) {
+        if (!write_first_answer())
+            break;
         std::shared_ptr<exchange> const answered_exchange =
             std::move(unanswered_exchanges_.front());
         unanswered_exchanges_.pop_front();
-        bool const closes_connection =
-            closing_after_answers_ && unanswered_exchanges_.empty() && !reader_.is_inside_message();
-        write_answer(*answered_exchange, closes_connection);
         answered_exchange->connection_ = nullptr;
         last_activity_at_ = clock_.now();
         idle_timeout_at_answer_ = limits_.idle_timeout;
-        if (closes_connection)
+        if (answered_exchange->closes_connection_)
             end_connection(connection_end::answered);
     }
+    notify_writer();
     if (connection_ended_ || error_status_ == 0 || !unanswered_exchanges_.empty())
         return;
     write_error(error_status_);
     end_connection(connection_end::unreadable);
 }
 
+bool server_connection::closes_after_first_answer() const
+{
+    return closing_after_answers_ && unanswered_exchanges_.size() == 1 &&
+           !reader_.is_inside_message();
+}
+
+bool server_connection::write_first_answer()
+{
+    exchange& first = *unanswered_exchanges_.front();
+    if (first.answer_) {
+        first.closes_connection_ = closes_after_first_answer();
+        write_answer(first, first.closes_connection_);
+        return true;
+    }
+    if (!first.streamed_)
+        return false;
+    if (!first.streamed_->head_is_written)
+        write_streamed_head(first);
+    write_streamed_parts(first);
+    return first.streamed_->is_finished;
+}
+
+void server_connection::write_streamed_head(exchange& started_exchange)
+{
+    exchange::streamed_answer& answer = *started_exchange.streamed_;
+    answer.head_is_written = true;
+    started_exchange.closes_connection_ = closes_after_first_answer();
+    std::string head =
+        fmt::format("HTTP/1.1 {} {}\r\n", answer.head.status, reason_phrase(answer.head.status));
+    for (http_header const& each : answer.head.headers)
+        fmt::format_to(std::back_inserter(head), "{}: {}\r\n", each.name, each.value);
+    if (answer.head.content_length)
+        fmt::format_to(std::back_inserter(head), "Content-Length: {}\r\n",
+                       *answer.head.content_length);
+    else if (status_allows_body(answer.head.status))
+        head += "Transfer-Encoding: chunked\r\n";
+    head += started_exchange.closes_connection_ ? "Connection: close\r\n\r\n" : "\r\n";
+    socket_.write(std::move(head));
+}
+
+void server_connection::write_streamed_parts(exchange& started_exchange)
+{
+    exchange::streamed_answer& answer = *started_exchange.streamed_;
+    bool const has_body =
+        status_allows_body(answer.head.status) && started_exchange.request_.head.method != "HEAD";
+    bool const is_chunked = has_body && !answer.head.content_length;
+    // Small parts are collected while earlier ones wait in the socket.
+    if (!answer.unsent.empty() && (socket_.unsent_writes() == 0 || answer.is_finished)) {
+        std::string chunk_head;
+        if (is_chunked)
+            chunk_head =
+                fmt::format("{}{:x}\r\n", answer.has_chunks ? "\r\n" : "", answer.unsent.size());
+        answer.has_chunks = true;
+        message_body part(std::exchange(answer.unsent, {}), std::move(answer.unsent_charge));
+        answer.unsent_charge = socket_.make_charge();
+        if (has_body)
+            socket_.write(std::move(chunk_head), std::move(part));
+    }
+    if (answer.is_finished && is_chunked)
+        socket_.write(answer.has_chunks ? "\r\n0\r\n\r\n" : "0\r\n\r\n");
+}
+
+bool server_connection::may_write_more(exchange const& started_exchange) const
+{
+    return started_exchange.streamed_->unsent.size() + socket_.unsent_bytes() <
+           max_unsent_answer_bytes;
+}
+
+void server_connection::notify_writer()
+{
+    if (connection_ended_ || unanswered_exchanges_.empty())
+        return;
+    exchange& first = *unanswered_exchanges_.front();
+    bool const may_go_on =
+        first.streamed_ && first.streamed_->writer_waits && may_write_more(first);
+    if (!may_go_on)
+        return;
+    first.streamed_->writer_waits = false;
+    loop_.post([weak_exchange = first.weak_from_this()] {
+        auto const writable_exchange = weak_exchange.lock();
+        if (writable_exchange == nullptr || writable_exchange->is_disconnected())
+            return;
+        // Copied, because the handler may replace itself.
+        if (auto const handler = writable_exchange->writable_handler_)
+            handler();
+    });
+}
+
+void server_connection::on_drained()
+{
+    write_ready_answers();
+}
+
 void server_connection::write_answer(exchange& ready_exchange, bool closes_connection)
 {
     server_answer& answer = *ready_exchange.answer_;
@@ -210,6 +307,19 @@
     socket_.write(std::move(head), std::move(body));
 }
 
+void server_connection::break_off(exchange& broken_exchange)
+{
+    bool const has_begun = broken_exchange.streamed_ && broken_exchange.streamed_->head_is_written;
+    if (has_begun) {
+        end_connection(connection_end::aborted);
+        return;
+    }
+    broken_exchange.streamed_.reset();
+    closing_after_answers_ = true;
+    reader_.stop();
+    broken_exchange.reply({.status = status_bad_gateway, .headers = {}, .body = {}});
+}
+
 void server_connection::abort()
 {
     end_connection(connection_end::aborted);
@@ -257,7 +367,7 @@
     for (auto const& each : unanswered)
         each->connection_ = nullptr;
     for (auto const& each : unanswered) {
-        if (each->disconnect_handler_ && !each->answer_)
+        if (each->disconnect_handler_ && !each->has_complete_answer())
             std::exchange(each->disconnect_handler_, nullptr)(end);
     }
     owner_.on_connection_closed(*this, end, unanswered.size());
@@ -265,7 +375,7 @@
 
 void exchange::reply(server_answer answer)
 {
-    if (answer_ || connection_ == nullptr)
+    if (answer_ || streamed_ || connection_ == nullptr)
         return;
     answer_ = std::move(answer);
     answer_charge_ = connection_->socket_.make_charge();
@@ -274,6 +384,49 @@
     connection_->write_ready_answers();
 }
 
+void exchange::start(streamed_answer_head head)
+{
+    if (answer_ || streamed_ || connection_ == nullptr)
+        return;
+    streamed_ = streamed_answer{
+        .head = std::move(head), .unsent = {}, .unsent_charge = connection_->socket_.make_charge()};
+    connection_->write_ready_answers();
+}
+
+bool exchange::write(std::string_view bytes)
+{
+    if (!streamed_ || streamed_->is_finished || connection_ == nullptr)
+        return true;
+    streamed_->unsent.append(bytes);
+    streamed_->unsent_charge.resize(streamed_->unsent.size());
+    connection_->write_ready_answers();
+    if (connection_ == nullptr)
+        return true;
+    streamed_->writer_waits = !connection_->may_write_more(*this);
+    return !streamed_->writer_waits;
+}
+
+void exchange::finish()
+{
+    if (!streamed_ || connection_ == nullptr)
+        return;
+    streamed_->is_finished = true;
+    disconnect_handler_ = nullptr;
+    writable_handler_ = nullptr;
+    connection_->write_ready_answers();
+}
+
+void exchange::break_off()
+{
+    if (connection_ != nullptr)
+        connection_->break_off(*this);
+}
+
+address exchange::peer() const
+{
+    return connection_ == nullptr ? address{} : connection_->socket_.peer_address();
+}
+
 void exchange::abort()
 {
     if (connection_ != nullptr)
--- a/libraries/http1/server_connection.hpp
+++ b/libraries/http1/server_connection.hpp
@@ -25,8 +25,9 @@
         virtual std::function<void(std::size_t)> reader_after_end(connection_end end) = 0;
     };
 
-    server_connection(event_loop& loop, clock_source const& clock, server_limits const& limits,
-                      memory_budget& budget, owner& connection_owner);
+    /// `number` identifies the connection within its server.
+    server_connection(event_loop& loop, clock_source const& clock, std::uint64_t number,
+                      server_limits const& limits, memory_budget& budget, owner& connection_owner);
     ~server_connection() override;
     server_connection(server_connection const&) = delete;
     server_connection& operator=(server_connection const&) = delete;
@@ -36,9 +37,12 @@
     /// Writes the answers that are ready and have no unanswered request before them.
     void write_ready_answers();
     void abort();
+    /// Ends an answer as incomplete, and the connection with it.
+    void break_off(exchange& broken_exchange);
     void close_after_answers() { closing_after_answers_ = true; }
     /// True if no request is under way here or has arrived unread, and all answers are sent.
     bool is_idle() const;
+    std::size_t unanswered_requests() const { return unanswered_exchanges_.size(); }
     /// Answers 408 to a request that is received too slowly, and closes a connection that was idle
     /// for too long.
     void check_time_limits(time_point now);
@@ -48,6 +52,7 @@
     void on_message_end() override;
     void on_bytes(std::string_view bytes) override;
     void on_stream_end(stream_end end) override;
+    void on_drained() override;
     bool awaits_peer() const override { return unanswered_exchanges_.empty(); }
     /// Refuses a request that is being received, and closes the connection.
     void on_give_up() override;
@@ -59,11 +64,21 @@
     bool try_charge_partial_request();
     void discard_partial_request();
     void write_error(int status);
+    /// Writes the first answer. Returns false if it isn't complete.
+    bool write_first_answer();
     void write_answer(exchange& answered_exchange, bool closes_connection);
+    void write_streamed_head(exchange& started_exchange);
+    void write_streamed_parts(exchange& started_exchange);
+    bool may_write_more(exchange const& started_exchange) const;
+    /// Lets the writer of the first answer go on if it waits. Its handler is called from the loop.
+    void notify_writer();
+    bool closes_after_first_answer() const;
     void stop_reading_with_error(int status);
     void end_connection(connection_end end);
 
+    event_loop& loop_;
     clock_source const& clock_;
+    std::uint64_t number_;
     server_limits limits_;
     owner& owner_;
     stream_socket socket_;
--- a/libraries/http1/stream_socket.cpp
+++ b/libraries/http1/stream_socket.cpp
@@ -309,8 +309,11 @@
                      auto* const ended = static_cast<write_request*>(done->data);
                      // The read callback reports the end.
                      ended->owner->has_failed = ended->owner->has_failed || is_failure(status);
-                     --ended->owner->unsent_writes;
+                     state* const owner = ended->owner;
+                     --owner->unsent_writes;
                      delete ended;
+                     if (status == 0 && owner->unsent_writes == 0 && owner->listener != nullptr)
+                         owner->listener->on_drained();
                  });
     if (started != 0) {
         state_->has_failed = true;
@@ -334,6 +337,16 @@
     return state_ == nullptr ? 0 : state_->unsent_writes;
 }
 
+address stream_socket::peer_address() const
+{
+    sockaddr_storage name{};
+    int length = sizeof name;
+    bool const is_known =
+        state_ != nullptr &&
+        uv_tcp_getpeername(&state_->handle, reinterpret_cast<sockaddr*>(&name), &length) == 0;
+    return is_known ? address::from_sockaddr(reinterpret_cast<sockaddr const&>(name)) : address{};
+}
+
 bool stream_socket::has_unread_input() const
 {
     if (state_ == nullptr)
--- a/libraries/http1/stream_socket.hpp
+++ b/libraries/http1/stream_socket.hpp
@@ -29,6 +29,8 @@
     virtual void on_connected() {}
     virtual void on_bytes(std::string_view bytes) = 0;
     virtual void on_stream_end(stream_end end) = 0;
+    /// Called when the operating system has accepted all written bytes, unless it did so at once.
+    virtual void on_drained() {}
     /// True if the peer has to act next, as far as the listener knows.
     virtual bool awaits_peer() const { return false; }
     /// Called when the peer is slow and its connection is needed for others: it must be closed.
@@ -67,6 +69,8 @@
     std::size_t unsent_bytes() const;
     /// Number of `write` calls with bytes that the operating system hasn't accepted yet.
     std::size_t unsent_writes() const;
+    /// Address of the peer; empty if it isn't known.
+    address peer_address() const;
     /// True if bytes have arrived, or the peer has closed its side, and the listener doesn't know
     /// yet.
     bool has_unread_input() const;
--- a/libraries/net/http_client.cpp
+++ b/libraries/net/http_client.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-constexpr long max_pooled_connections = 1024;
-constexpr long receive_buffer_bytes = 64L * 1024;
+/// Each call under way has a buffer in each direction.
+constexpr long call_buffer_bytes = 16L * 1024;
 constexpr int first_final_status = 200;
 
 long to_milliseconds(duration span)
@@ -94,7 +94,7 @@
     curl_slist* headers = nullptr;
     curl_slist* connect_to_rules = nullptr;
     call_listener* listener = nullptr;
-    std::string body;
+    http1::message_body body;
     head_parser parser;
     /// True until a head arrives that delimits the body. Without one, the end of the connection
     /// doesn't show whether the body is complete.
@@ -115,7 +115,7 @@
 
 struct http_client::implementation
 {
-    explicit implementation(event_loop& event_loop)
+    implementation(event_loop& event_loop, http_client_limits limits)
         : loop(event_loop), multi_handle(curl_multi_init()), curl_timer(event_loop),
           stall_check_timer(event_loop)
     {
@@ -123,7 +123,9 @@
         curl_multi_setopt(multi_handle, CURLMOPT_SOCKETDATA, this);
         curl_multi_setopt(multi_handle, CURLMOPT_TIMERFUNCTION, &implementation::on_timer);
         curl_multi_setopt(multi_handle, CURLMOPT_TIMERDATA, this);
-        curl_multi_setopt(multi_handle, CURLMOPT_MAXCONNECTS, max_pooled_connections);
+        auto const max_connections = static_cast<long>(limits.max_connections);
+        curl_multi_setopt(multi_handle, CURLMOPT_MAXCONNECTS, max_connections);
+        curl_multi_setopt(multi_handle, CURLMOPT_MAX_TOTAL_CONNECTIONS, max_connections);
         curl_multi_setopt(multi_handle, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
         constexpr duration stall_check_interval = std::chrono::milliseconds(20);
         stall_check_timer.start_periodic(stall_check_interval, [this] { check_stalls(); });
@@ -327,7 +329,8 @@
         curl_easy_setopt(transfer, CURLOPT_TIMEOUT_MS, to_milliseconds(options.deadline));
         curl_easy_setopt(transfer, CURLOPT_CONNECTTIMEOUT_MS,
                          to_milliseconds(options.connect_timeout));
-        curl_easy_setopt(transfer, CURLOPT_BUFFERSIZE, receive_buffer_bytes);
+        curl_easy_setopt(transfer, CURLOPT_BUFFERSIZE, call_buffer_bytes);
+        curl_easy_setopt(transfer, CURLOPT_UPLOAD_BUFFERSIZE, call_buffer_bytes);
         curl_easy_setopt(transfer, CURLOPT_FRESH_CONNECT, options.fresh_connection ? 1L : 0L);
         if (!options.local_ip.empty())
             curl_easy_setopt(transfer, CURLOPT_INTERFACE, options.local_ip.c_str());
@@ -366,7 +369,7 @@
         if (has_body) {
             curl_easy_setopt(call.transfer, CURLOPT_POSTFIELDSIZE_LARGE,
                              static_cast<curl_off_t>(call.body.size()));
-            curl_easy_setopt(call.transfer, CURLOPT_POSTFIELDS, call.body.data());
+            curl_easy_setopt(call.transfer, CURLOPT_POSTFIELDS, call.body.bytes().data());
         }
         for (http_header const& each : options.headers)
             call.headers = curl_slist_append(call.headers,
@@ -391,7 +394,8 @@
     int curl_call_depth = 0;
 };
 
-http_client::http_client(event_loop& loop) : implementation_(std::make_unique<implementation>(loop))
+http_client::http_client(event_loop& loop, http_client_limits limits)
+    : implementation_(std::make_unique<implementation>(loop, limits))
 {}
 
 http_client::~http_client() = default;
--- a/libraries/net/http_client.hpp
+++ b/libraries/net/http_client.hpp
@@ -29,7 +29,7 @@
     std::string method = "GET";
     std::string path; ///< Path and query.
     http_headers headers;
-    std::string body;
+    http1::message_body body;
     duration deadline = std::chrono::seconds(10);
     duration connect_timeout = std::chrono::seconds(1);
     /// Ends the call as timed out if no byte arrives for this long; zero disables the check.
@@ -58,11 +58,18 @@
 /// Identifies a call within its client.
 using call_number = std::uint64_t;
 
+/// Limits of an `http_client`.
+struct http_client_limits
+{
+    /// Calls beyond these connections wait, until their deadline, for one of them.
+    std::size_t max_connections = 1024;
+};
+
 /// Runs HTTP calls on an event loop.
 class http_client
 {
 public:
-    explicit http_client(event_loop& loop);
+    explicit http_client(event_loop& loop, http_client_limits limits = {});
     ~http_client();
     http_client(http_client const&) = delete;
     http_client& operator=(http_client const&) = delete;
--- a/libraries/net/http_server.hpp
+++ b/libraries/net/http_server.hpp
@@ -1,12 +1,15 @@
-/// HTTP/1.1 server on h2o: delivers complete requests and sends streamed answers.
+/// HTTP/1.1 server that delivers complete requests and sends streamed answers.
 #pragma once
 
 #include "libraries/core/address.hpp"
+#include "libraries/core/clock.hpp"
 #include "libraries/core/error.hpp"
+#include "libraries/http1/server.hpp"
 #include "libraries/net/event_loop.hpp"
 #include "libraries/net/http_types.hpp"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -30,7 +33,7 @@
 
     /// Sets a handler that is called once if the caller disconnects before the answer is complete.
     virtual void on_disconnect(std::function<void()> handler) = 0;
-    /// Sets a handler that is called whenever h2o has sent all written bytes.
+    /// Sets a handler that is called when a writer that was told to wait may go on.
     virtual void on_writable(std::function<void()> handler) = 0;
 
     /// Starts a streamed answer with this head.
@@ -52,6 +55,9 @@
     std::size_t max_body_bytes = std::size_t{256} * 1024;
     duration request_read_timeout = std::chrono::seconds(10);
     std::size_t max_connections = 4096;
+    /// Bytes that are held for all callers together: requests, and answers that they haven't read.
+    /// Slow callers are given up first; then requests are refused with 503 and Retry-After.
+    std::size_t max_held_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// Listens on one address and passes each request to a handler.
@@ -70,15 +76,19 @@
     /// Starts a graceful shutdown: each connection closes after its current answer, so that callers
     /// reconnect elsewhere.
     void close_connections_after_answers();
-    /// Number of exchanges whose answer has not been sent completely.
+    /// Number of exchanges whose answer isn't complete; at least one while the operating system
+    /// hasn't taken over all bytes of the answers.
     std::size_t exchanges_in_flight() const;
     std::size_t connections() const;
-
-    /// Public for the h2o callbacks; defined in the source file.
-    struct implementation;
+    /// What is held for callers, and how often there was no room for more.
+    http1::memory_budget const& budget() const { return *budget_; }
 
 private:
-    std::unique_ptr<implementation> implementation_;
+    http_server_limits limits_;
+    system_clock_source clock_;
+    std::shared_ptr<http1::memory_budget> budget_;
+    timer sample_timer_;
+    http1::server server_;
 };
 
 } // namespace burdockstep
--- a/libraries/net/http_types.hpp
+++ b/libraries/net/http_types.hpp
@@ -1,6 +1,8 @@
 /// HTTP message types shared by the server and the clients.
 #pragma once
 
+#include "libraries/http1/message_body.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -55,7 +57,7 @@
     std::string path;  ///< Path without the query.
     std::string query; ///< After '?', or empty.
     http_headers headers;
-    std::string body;
+    http1::message_body body;
 
     /// Returns the percent-decoded value of a query parameter, or an empty string if it is absent.
     std::string parameter(std::string_view name) const;
--- a/services/burdockstep_gateway/main.cpp
+++ b/services/burdockstep_gateway/main.cpp
@@ -4,12 +4,12 @@
 #include "platform/platform_store.hpp"
 #include "services/burdockstep_gateway/supervisor.hpp"
 
+#include "libraries/core/allocator.hpp"
 #include "libraries/core/file.hpp"
 #include "libraries/core/log.hpp"
 
 #include <boost/program_options.hpp>
 
-#include <malloc.h>
 
 #include <cstdlib>
 #include <iostream>
@@ -23,9 +23,6 @@
 /// Environment variable with the path of the settings file, used if `--settings` is not given.
 constexpr char const* settings_environment_variable = "BURDOCKSTEP_BOOT";
 constexpr int exit_usage = 2;
-/// Blocks of this size and more go back to the operating system when they are freed. Unless it is
-/// set, the limit grows with the blocks, and the memory of large bodies stays with the process.
-constexpr int min_returned_block_bytes = 128 * 1024;
 
 std::optional<gateway_settings> load_settings(std::string const& path)
 {
@@ -46,7 +43,7 @@
 int run_gateway(gateway_settings settings, std::string const& path)
 {
     logger::set_buffered(true);
-    mallopt(M_MMAP_THRESHOLD, min_returned_block_bytes);
+    return_freed_blocks();
     event_loop loop;
     system_clock_source const clock;
     random_source random(system_seed());
--- a/services/burdockstepd/callers/callers_task.cpp
+++ b/services/burdockstepd/callers/callers_task.cpp
@@ -1,5 +1,7 @@
 #include "services/burdockstepd/callers/callers_task.hpp"
 
+#include "services/burdockstepd/memory_limits.hpp"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -96,7 +98,8 @@
 } // namespace
 
 callers_task::callers_task(daemon_context& context)
-    : context_(context), callers_server_(context.loop, {}), send_client_(context.loop),
+    : context_(context), callers_server_(context.loop, make_callers_limits(context.settings)),
+      send_client_(context.loop, make_send_limits()),
       engine_(make_engine_options(context), context.random, context.clock.now()),
       engine_tick_timer_(context.loop), pool_report_timer_(context.loop)
 {}
@@ -233,8 +236,8 @@
         service_name(std::string(path_after_prefix.substr(0, path_after_prefix.find('/'))));
     arrival.deadline = parse_deadline(request.headers.find(header::deadline));
     arrival.route = parse_route(request.headers.find(header::route));
-    arrival.request = digest_of(
-        fmt::format("{} {}\n{}", request.method, upstream_path_and_query(request), request.body));
+    arrival.request = digest_of(fmt::format(
+        "{} {}\n{}", request.method, upstream_path_and_query(request), request.body.bytes()));
     std::string_view const ticket_text = request.headers.find(header::ticket);
     if (!ticket_text.empty()) {
         arrival.presented = handle_failure(
--- a/services/burdockstepd/callers/callers_task.hpp
+++ b/services/burdockstepd/callers/callers_task.hpp
@@ -36,6 +36,7 @@
     entry_engine const& engine() const { return engine_; }
     std::uint64_t lookups_answered() const { return lookups_answered_; }
     std::size_t connections() const { return callers_server_.connections(); }
+    http1::memory_budget const& budget() const { return callers_server_.budget(); }
 
 private:
     struct call_in_progress
--- a/services/burdockstepd/main.cpp
+++ b/services/burdockstepd/main.cpp
@@ -2,6 +2,7 @@
 #include "services/burdockstepd/supervisor.hpp"
 
 #include "libraries/configuration/daemon_settings.hpp"
+#include "libraries/core/allocator.hpp"
 #include "libraries/core/file.hpp"
 #include "libraries/core/log.hpp"
 
@@ -50,6 +51,7 @@
 
 int run_daemon(daemon_settings settings, std::string const& addresses_file)
 {
+    return_freed_blocks();
     event_loop loop;
     system_clock_source const clock;
     random_source random(system_seed());
--- a/services/burdockstepd/operators/operators_task.cpp
+++ b/services/burdockstepd/operators/operators_task.cpp
@@ -1,5 +1,7 @@
 #include "services/burdockstepd/operators/operators_task.hpp"
 
+#include "services/burdockstepd/memory_limits.hpp"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -13,8 +15,6 @@
 
 constexpr duration platform_timeout = std::chrono::seconds(2);
 constexpr std::size_t max_audit_records = 200;
-constexpr std::size_t max_apply_body_bytes = std::size_t{5} * 1024 * 1024;
-constexpr std::size_t max_operator_connections = 64;
 
 std::uint64_t unix_time_ms()
 {
@@ -65,8 +65,7 @@
 
 operators_task::operators_task(daemon_context& context, callers_task const& callers)
     : context_(context), callers_task_(callers),
-      operators_server_(context.loop, {.max_body_bytes = max_apply_body_bytes,
-                                       .max_connections = max_operator_connections}),
+      operators_server_(context.loop, make_operators_limits(context.settings)),
       platform_http_client_(context.loop),
       platform_client_(platform_http_client_, context.settings.platform, platform_timeout)
 {}
@@ -198,6 +197,9 @@
     write_metric("lookups_total", "counter", callers_task_.lookups_answered());
     write_metric("calls_in_progress", "gauge", callers_task_.engine().calls_in_progress());
     write_metric("caller_connections", "gauge", callers_task_.connections());
+    write_metric("held_bytes", "gauge", callers_task_.budget().used_bytes());
+    write_metric("held_bytes_max", "gauge", callers_task_.budget().max_bytes());
+    write_metric("no_room_total", "counter", callers_task_.budget().counters().refusals());
     write_metric("ticket_records", "gauge", callers_task_.engine().redeemed_tickets().records());
     write_metric("configuration_version", "gauge",
                  configuration_ ? configuration_->version.get() : 0);
@@ -236,7 +238,7 @@
     apply_request requested_apply;
     requested_apply.id =
         apply_id(fmt::format("{:016x}{:016x}", context_.random.next(), context_.random.next()));
-    requested_apply.document = request.body;
+    requested_apply.document = std::string(request.body.bytes());
     requested_apply.file = request.parameter("file");
     requested_apply.who = request.parameter("who");
     requested_apply.why = request.parameter("why");
--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -1,7 +1,9 @@
 """Starts a small deployment of real processes for tests, on ports that the system chooses."""
+import contextlib
 import json
 import os
 import pathlib
+import resource
 import signal
 import subprocess
 import tempfile
@@ -78,6 +80,18 @@
         return error.code, dict(error.headers), error.read()
 
 
+@contextlib.contextmanager
+def descriptor_limit(descriptors):
+    """Processes that are started inside inherit this limit, if there is one."""
+    own_limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, own_limits[1]))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, own_limits)
+
+
 class Process:
     """A running program whose output goes to a log file."""
 
@@ -100,7 +114,8 @@
     """Processes of the platform, the upstreams and the entries; stops them when used in `with`."""
 
     def __init__(self, binaries, entries=3, document=DEPLOYMENT_DOCUMENT, upstreams_per_place=2,
-                 slots=3, lookup_lifetime_ms=500, speed=4):
+                 slots=3, lookup_lifetime_ms=500, speed=4, entry_settings="",
+                 entry_descriptors=None):
         self.binaries = pathlib.Path(binaries)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="burdockstep-test-"))
         self.processes = []
@@ -112,6 +127,9 @@
         self.slots = slots
         self.lookup_lifetime_ms = lookup_lifetime_ms
         self.speed = speed
+        # Further lines of the entries' table `instance`, and the limit on their descriptors.
+        self.entry_settings = entry_settings
+        self.entry_descriptors = entry_descriptors
 
     def __enter__(self):
         try:
@@ -185,11 +203,12 @@
             f"seeds = [{seed_list}]\n"
             f'[instance]\nname = "{name}"\nplace = "{place}"\nregion = "{region}"\n'
             f'callers = "{callers}"\noperators = "{operators}"\npeers = "{peers}"\n'
-            f"lookup_lifetime_ms = {self.lookup_lifetime_ms}\n"
+            f"lookup_lifetime_ms = {self.lookup_lifetime_ms}\n{self.entry_settings}"
             f'[platform]\naddress = "{self.platform}"\n')
         (self.folder / name).unlink(missing_ok=True)
-        process = self.start(name, ["burdockstepd", "--settings", str(settings),
-                                    "--addresses-file", str(self.folder / name)])
+        with descriptor_limit(self.entry_descriptors):
+            process = self.start(name, ["burdockstepd", "--settings", str(settings),
+                                        "--addresses-file", str(self.folder / name)])
         self.addresses[name] = self.read_file_when_written(name, process)
         self.entries[name] = process
         try:
--- a/tests/process/memory_site.py
+++ b/tests/process/memory_site.py
@@ -5,12 +5,11 @@
 import os
 import pathlib
 import re
-import resource
 import shutil
 import socket
 import tempfile
 
-from deployment import LOAD_FRACTION, Process, http as http_call, wait_until
+from deployment import LOAD_FRACTION, Process, descriptor_limit, http as http_call, wait_until
 from test_gateway import free_ports
 
 BYTES_PER_MB = 2 ** 20
@@ -77,7 +76,93 @@
             writer.close()
 
 
-class MemorySite:
+class MeasuredSite:
+    """A process under test, `measured`, with bounds on what it may hold. A site that derives from this
+    answers `call` with the status of an ordinary request to the process."""
+
+    measured: Process
+    memory_mb: int
+    bound_mb: int
+    max_descriptors: int
+    descriptors_at_start: int
+    ports: dict
+
+    def status_mb(self, field):
+        text = pathlib.Path(f"/proc/{self.measured.process.pid}/status").read_text()
+        return int(re.search(rf"{field}:\s+(\d+) kB", text)[1]) / 1024
+
+    def queued_mb(self):
+        """Bytes that the operating system holds in the queues of the process's connections."""
+        sockets = set()
+        for each in pathlib.Path(f"/proc/{self.measured.process.pid}/fd").iterdir():
+            try:
+                sockets.add(os.readlink(each))
+            except OSError:
+                pass  # Closed meanwhile.
+        queued_bytes = 0
+        for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            is_listening = fields[3] == "0A"
+            if f"socket:[{fields[9]}]" in sockets and not is_listening:
+                queued_bytes += sum(int(each, 16) for each in fields[4].split(":"))
+        return queued_bytes / BYTES_PER_MB
+
+    def check_memory_with_queues(self):
+        resident_mb, queued_mb = self.status_mb("VmRSS"), self.queued_mb()
+        print(f"resident {resident_mb:.0f} MB, in socket queues {queued_mb:.0f} MB", flush=True)
+        if MEMORY_IS_COMPARABLE:
+            total_mb = resident_mb + queued_mb
+            assert total_mb <= self.bound_mb, f"{total_mb:.0f} MB exceed {self.bound_mb} MB"
+
+    def open_descriptors(self):
+        return len(list(pathlib.Path(f"/proc/{self.measured.process.pid}/fd").iterdir()))
+
+    async def check_ordinary_call(self):
+        """An ordinary caller gets an answer, at least when it asks again."""
+        await asyncio.to_thread(wait_until, lambda: self.call() == 200,
+                                "an ordinary request is answered", ORDINARY_CALL_LIMIT_S)
+
+    def check_bounds(self):
+        assert self.measured.is_running(), f"the process ended: {self.measured.process.returncode}"
+        peak_mb, descriptors = self.status_mb("VmHWM"), self.open_descriptors()
+        print(f"peak memory {peak_mb:.0f} MB of {self.memory_mb}, descriptors {descriptors} of "
+              f"{self.max_descriptors}", flush=True)
+        if MEMORY_IS_COMPARABLE:
+            assert peak_mb <= self.bound_mb, f"{peak_mb:.0f} MB exceed {self.bound_mb} MB"
+        # An eighth stays free for connections of the process's own.
+        assert descriptors <= self.max_descriptors * 7 / 8, f"{descriptors} descriptors"
+
+    async def check_connections_end(self):
+        """Connections end whose last answer is sent, also if their callers don't close them."""
+        most = self.descriptors_at_start + OWN_CONNECTIONS
+        await asyncio.to_thread(wait_until, lambda: self.open_descriptors() <= most,
+                                f"at most {most} descriptors", CONNECTIONS_END_LIMIT_S)
+
+    async def check_crowd(self, callers, answered_callers_stay=False):
+        """Runs the callers until each has sent what it wants to send or was turned away; checks the
+        process while they stay, and after they have left."""
+        descriptors = []
+        tasks = [asyncio.create_task(each.run(self)) for each in callers]
+        for each in callers:
+            await each.settled.wait()
+            descriptors.append(self.open_descriptors() if self.measured.is_running() else 0)
+        print(f"{len(callers)} callers, {sum(each.is_open for each in callers)} stay; most "
+              f"descriptors {max(descriptors)}", flush=True)
+        self.check_bounds()
+        self.check_memory_with_queues()
+        assert max(descriptors) <= self.max_descriptors * 7 / 8, f"{max(descriptors)} descriptors"
+        await self.check_ordinary_call()
+        if answered_callers_stay:
+            await self.check_connections_end()
+        self.check_bounds()
+        for each in tasks:
+            each.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.check_ordinary_call()
+        self.check_bounds()
+
+
+class MemorySite(MeasuredSite):
     """One gateway with its store and one upstream of each service."""
 
     def __init__(self, binaries, memory_mb=MEMORY_MB, bound_mb=None, max_body_bytes=MAX_BODY_BYTES,
@@ -150,44 +235,10 @@
                   "[places]", 'p1 = "r"', ""]
         settings = self.folder / "gateway.toml"
         settings.write_text("\n".join(lines))
-        # The gateway inherits this limit; the test itself needs more.
-        own_limits = resource.getrlimit(resource.RLIMIT_NOFILE)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (self.max_descriptors, own_limits[1]))
-        try:
-            self.gateway = self.start([self.binaries / "burdockstep-gateway", "--settings",
-                                       settings], "gateway.log")
-        finally:
-            resource.setrlimit(resource.RLIMIT_NOFILE, own_limits)
-
-    def status_mb(self, field):
-        text = pathlib.Path(f"/proc/{self.gateway.process.pid}/status").read_text()
-        return int(re.search(rf"{field}:\s+(\d+) kB", text)[1]) / 1024
-
-    def queued_mb(self):
-        """Bytes that the operating system holds in the queues of the gateway's connections."""
-        sockets = set()
-        for each in pathlib.Path(f"/proc/{self.gateway.process.pid}/fd").iterdir():
-            try:
-                sockets.add(os.readlink(each))
-            except OSError:
-                pass  # Closed meanwhile.
-        queued_bytes = 0
-        for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
-            fields = line.split()
-            is_listening = fields[3] == "0A"
-            if f"socket:[{fields[9]}]" in sockets and not is_listening:
-                queued_bytes += sum(int(each, 16) for each in fields[4].split(":"))
-        return queued_bytes / BYTES_PER_MB
-
-    def check_memory_with_queues(self):
-        resident_mb, queued_mb = self.status_mb("VmRSS"), self.queued_mb()
-        print(f"resident {resident_mb:.0f} MB, in socket queues {queued_mb:.0f} MB", flush=True)
-        if MEMORY_IS_COMPARABLE:
-            total_mb = resident_mb + queued_mb
-            assert total_mb <= self.bound_mb, f"{total_mb:.0f} MB exceed {self.bound_mb} MB"
-
-    def open_descriptors(self):
-        return len(list(pathlib.Path(f"/proc/{self.gateway.process.pid}/fd").iterdir()))
+        # The test itself needs more.
+        with descriptor_limit(self.max_descriptors):
+            self.measured = self.start([self.binaries / "burdockstep-gateway", "--settings",
+                                        settings], "gateway.log")
 
     def call(self, path="/ordinary/x", body=None, deadline_ms=2500):
         """Returns the status of a request, or 0 if there was none."""
@@ -201,51 +252,6 @@
         except OSError:
             return 0
 
-    async def check_ordinary_call(self):
-        """An ordinary caller gets an answer, at least when it asks again."""
-        await asyncio.to_thread(wait_until, lambda: self.call() == 200,
-                                "an ordinary request is answered", ORDINARY_CALL_LIMIT_S)
-
-    def check_bounds(self):
-        assert self.gateway.is_running(), f"the gateway ended: {self.gateway.process.returncode}"
-        peak_mb, descriptors = self.status_mb("VmHWM"), self.open_descriptors()
-        print(f"peak memory {peak_mb:.0f} MB of {self.memory_mb}, descriptors {descriptors} of "
-              f"{self.max_descriptors}", flush=True)
-        if MEMORY_IS_COMPARABLE:
-            assert peak_mb <= self.bound_mb, f"{peak_mb:.0f} MB exceed {self.bound_mb} MB"
-        # An eighth stays free for connections of the gateway's own.
-        assert descriptors <= self.max_descriptors * 7 / 8, f"{descriptors} descriptors"
-
-    async def check_connections_end(self):
-        """Connections end whose last answer is sent, also if their callers don't close them."""
-        most = self.descriptors_at_start + OWN_CONNECTIONS
-        await asyncio.to_thread(wait_until, lambda: self.open_descriptors() <= most,
-                                f"at most {most} descriptors", CONNECTIONS_END_LIMIT_S)
-
-    async def check_crowd(self, callers, answered_callers_stay=False):
-        """Runs the callers until each has sent what it wants to send or was turned away; checks the
-        gateway while they stay, and after they have left."""
-        descriptors = []
-        tasks = [asyncio.create_task(each.run(self)) for each in callers]
-        for each in callers:
-            await each.settled.wait()
-            descriptors.append(self.open_descriptors() if self.gateway.is_running() else 0)
-        print(f"{len(callers)} callers, {sum(each.is_open for each in callers)} stay; most "
-              f"descriptors {max(descriptors)}", flush=True)
-        self.check_bounds()
-        self.check_memory_with_queues()
-        assert max(descriptors) <= self.max_descriptors * 7 / 8, f"{max(descriptors)} descriptors"
-        await self.check_ordinary_call()
-        if answered_callers_stay:
-            await self.check_connections_end()
-        self.check_bounds()
-        for each in tasks:
-            each.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        await self.check_ordinary_call()
-        self.check_bounds()
-
-
 class Caller:
     """A caller that sends some parts, and stays until it is turned away. It may send its last part
     again and again, slowly, and it may leave its answers unread."""
@@ -409,10 +415,16 @@
             for number in range(count)]
 
 
-def run(check, binaries, **options):
-    """Runs one check on a fresh site."""
+def run_on(site, check):
+    """Runs one check on a site that hasn't started."""
     async def run_check():
-        async with MemorySite(binaries, **options) as site:
+        async with site:
             await check(site)
-    print(check.__name__, *(f"{key}={value}" for key, value in options.items()), flush=True)
+    print(check.__name__, flush=True)
     asyncio.run(run_check())
+
+
+def run(check, binaries, **options):
+    """Runs one check on a gateway's site of its own."""
+    print(*(f"{key}={value}" for key, value in options.items()), end=" ", flush=True)
+    run_on(MemorySite(binaries, **options), check)
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -12,13 +12,14 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace burdockstep;
 using namespace burdockstep::testing;
 
 namespace {
 
-/// An event loop that is never destroyed, because h2o's connections refer to it.
+/// An event loop that is never destroyed, because connections may still refer to it.
 event_loop& shared_loop()
 {
     static event_loop& loop = *new event_loop;
@@ -237,7 +238,7 @@
     std::string bodies;
     address const at = listening_address(
         server.try_listen(loopback_any_port(), [&](std::shared_ptr<http_exchange> const& each) {
-            bodies += each->request().body + ";";
+            bodies += std::string(each->request().body.bytes()) + ";";
             each->reply(200, {}, "served");
         }));
     std::string answer;
@@ -255,6 +256,39 @@
     STRCMP_EQUAL("ab;cd;;", bodies.c_str());
 }
 
+TEST(http, streamed_answers_of_pipelined_requests_keep_the_order_of_the_requests)
+{
+    http_server server(shared_loop(), {});
+    std::vector<std::shared_ptr<http_exchange>> exchanges;
+    address const at = listening_address(
+        server.try_listen(loopback_any_port(), [&](std::shared_ptr<http_exchange> each) {
+            exchanges.push_back(std::move(each));
+        }));
+    std::string answer;
+    std::atomic<bool> answered = false;
+    std::thread raw_caller([&] {
+        answer = send_and_read_until_close(at, "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+                                               "GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+        answered = true;
+    });
+    run_until([&] { return exchanges.size() == 2; });
+    http_head const head{.status = 200, .headers = {}, .content_length = {}, .delimited = true};
+    exchanges[1]->start(head);
+    exchanges[1]->write("second");
+    exchanges[1]->abort();
+    exchanges[0]->start(head);
+    exchanges[0]->write("fir");
+    exchanges[0]->write("st");
+    exchanges[0]->finish();
+    run_until([&] { return answered.load(); });
+    raw_caller.join();
+    auto const end_of_first = answer.find("\r\n0\r\n\r\n");
+    CHECK(end_of_first != std::string::npos);
+    CHECK(answer.find("fir") < end_of_first);
+    CHECK(answer.find("HTTP/1.1 502") > end_of_first);
+    CHECK(answer.find("second") == std::string::npos);
+}
+
 TEST(http, framed_question_gets_an_answer_unless_the_server_refuses)
 {
     framed_server server(shared_loop(), {});
--- a/utilities/burdockstep_standin/platform_standin.cpp
+++ b/utilities/burdockstep_standin/platform_standin.cpp
@@ -179,7 +179,7 @@
     if (exchange.request().method == "PUT") {
         auto const [object, is_new] = objects_.try_emplace(name);
         if (is_new)
-            object->second = {.bytes = exchange.request().body,
+            object->second = {.bytes = std::string(exchange.request().body.bytes()),
                               .visible_at = clock_.now() + faults_.object_visibility_delay};
         reply_text(exchange, 200, "done");
         return;
