Take an answer with a status below 100 for no answer

An upstream in trouble answered with the status 000. The gateway didn't pass it on, but took it for an interim answer and waited for the final one behind it: until the route's timeout, or for whatever came next on the connection. burdockstepd has no such fault: the call ends as broken, which its test now shows as well.

Cause: every status below 200 was read as interim. Now one below 100 is malformed: the call ends as broken at once, the connection isn't used again, and the request is repeated where it may be, or answered 502.

http1_client, answer_with_a_status_below_100_is_broken_at_once: before, the call did not end within 5 s.

--- a/libraries/http1/message_reader.cpp
+++ b/libraries/http1/message_reader.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::uint64_t no_content_length = std::numeric_limits<std::uint64_t>::max();
+constexpr unsigned lowest_status = 100;
 constexpr unsigned first_final_status = 200;
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
@@ -188,6 +189,8 @@
 {
     store_header();
     head_bytes_ = 0;
+    if (kind_ == message_kind::answers && parser_.status_code < lowest_status)
+        return abort_parsing;
     // The parser rejects such an encoding in requests.
     if (kind_ == message_kind::answers &&
         (has_status_line_inside_head() || has_unknown_transfer_encoding()))
--- a/tests/unit/http1_client_test.cpp
+++ b/tests/unit/http1_client_test.cpp
@@ -106,6 +106,18 @@
                    answer);
 }
 
+TEST(http1_client, answer_with_a_status_below_100_is_broken_at_once)
+{
+    for (std::string const status : {"000", "000 OK", "0", "20 OK", "099 OK"}) {
+        std::string const answer =
+            "HTTP/1.1 " + status + "\r\nX-Id: mine\r\nContent-Length: 0\r\n\r\n";
+        for (std::string const behind : {"", answer_with_own_id}) {
+            auto const result = call_raw_server(answer + behind, raw_server_end::stay_open);
+            CHECK_TEXT(result.end == http1::call_end::broken, answer.c_str());
+        }
+    }
+}
+
 TEST(http1_client, call_to_a_closed_port_is_not_connected)
 {
     auto const result = call_and_wait(call_to({.ip = 0x7f000001, .port = 1}));
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -106,6 +106,8 @@
          {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+          "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 000 OK\r\nContent-Length: 3\r\n\r\nabc",
           "HTTP/1.1 200 OK\r\n\r\nbody without a length", "HTTP/1.1 200 OK\r\nContent-", ""}) {
         listener = {};
         CHECK_TEXT(call_raw_server(answer) == call_end::broken, answer);
