--- a/services/burdockstep_gateway/main.cpp
+++ b/services/burdockstep_gateway/main.cpp
@@ -10,7 +10,6 @@
 
 #include <boost/program_options.hpp>
 
-
 #include <cstdlib>
 #include <iostream>
 #include <optional>
