--- a/libraries/net/http_server.hpp
+++ b/libraries/net/http_server.hpp
@@ -84,7 +84,6 @@
     http1::memory_budget const& budget() const { return *budget_; }
 
 private:
-    http_server_limits limits_;
     system_clock_source clock_;
     std::shared_ptr<http1::memory_budget> budget_;
     timer sample_timer_;
