--- a/tests/process/test_memory_daemon.py
+++ b/tests/process/test_memory_daemon.py
@@ -86,13 +86,17 @@
     await site.check_crowd([Caller(complete) for _ in range(240)])
 
 
+PIECE = b"o" * 65536
+CHUNK = b"%x\r\n" % len(PIECE) + PIECE + b"\r\n"
+ANNOUNCED = f"Content-Length: {1000 * MAX_DOCUMENT_BYTES}"
+CHUNKED = "Transfer-Encoding: chunked"
+
+
 async def check_endless_bodies(site):
-    piece = b"o" * 65536
-    chunk = b"%x\r\n" % len(piece) + piece + b"\r\n"
     for listener, path in (("callers", "/v1/call/levels/work"), ("operators", "/v1/apply")):
         await site.check_crowd(
-            endless_bodies(24, f"Content-Length: {1000 * MAX_DOCUMENT_BYTES}", piece, listener, path) +
-            endless_bodies(24, "Transfer-Encoding: chunked", chunk, listener, path),
+            endless_bodies(24, ANNOUNCED, PIECE, listener, path) +
+            endless_bodies(24, CHUNKED, CHUNK, listener, path),
             answered_callers_stay=True)
 
 
@@ -118,10 +122,22 @@
     await site.check_crowd([Caller([]) for _ in range(600)])
 
 
+async def check_all_at_once(site):
+    """All of these, and peers that send what is no question, while an ordinary caller asks."""
+    await site.check_crowd(
+        unfinished_bodies(80) + chunked_bodies(40, 1) + chunked_bodies(40, MAX_BODY_BYTES // 2) +
+        endless_bodies(12, ANNOUNCED, PIECE) + endless_bodies(12, CHUNKED, CHUNK) +
+        unfinished_bodies(12, MAX_DOCUMENT_BYTES, "operators", "/v1/apply") +
+        [Caller([b"\xff" * 70_000], listener="peers") for _ in range(80)] +
+        [Caller([], listener="peers") for _ in range(80)] +
+        [Caller([head("GET", "/v1/lookup/none") * 20_000], reads=False) for _ in range(12)] +
+        [Caller([]) for _ in range(400)])
+
+
 if __name__ == "__main__":
     binaries = binaries_folder_argument(sys.argv)
     for check in (check_unfinished_bodies, check_bodies_in_chunks, check_endless_bodies,
                   check_operators_bodies, check_unread_short_answers, check_unread_long_answers,
-                  check_silent_connections):
+                  check_silent_connections, check_all_at_once):
         run_on(DaemonSite(binaries), check)
     run_on(DaemonSite(binaries, speed=SLOW), check_bodies_under_way)
