--- a/tests/process/test_memory_daemon.py
+++ b/tests/process/test_memory_daemon.py
@@ -134,10 +134,19 @@
         [Caller([]) for _ in range(400)])
 
 
+async def check_one_largest_body_is_served_in_calm(site):
+    url = f"http://127.0.0.1:{site.ports['callers']}/v1/call/levels/work"
+    status = (await asyncio.to_thread(http, "POST", url, b"b" * MAX_BODY_BYTES,
+                                      {"x-request-id": "largest"}))[0]
+    assert status == 200, status
+    site.check_bounds()
+
+
 if __name__ == "__main__":
     binaries = binaries_folder_argument(sys.argv)
-    for check in (check_unfinished_bodies, check_bodies_in_chunks, check_endless_bodies,
-                  check_operators_bodies, check_unread_short_answers, check_unread_long_answers,
-                  check_silent_connections, check_all_at_once):
+    for check in (check_one_largest_body_is_served_in_calm, check_unfinished_bodies,
+                  check_bodies_in_chunks, check_endless_bodies, check_operators_bodies,
+                  check_unread_short_answers, check_unread_long_answers, check_silent_connections,
+                  check_all_at_once):
         run_on(DaemonSite(binaries), check)
     run_on(DaemonSite(binaries, speed=SLOW), check_bodies_under_way)
