--- a/libraries/discovery/registry_update.cpp
+++ b/libraries/discovery/registry_update.cpp
@@ -22,57 +22,97 @@
 
 /// Encoded size of an update without changes, rounded up.
 constexpr std::size_t update_overhead_bytes = 96;
-/// Encoded size of a change without its names, rounded up.
-constexpr std::size_t change_overhead_bytes = 64;
-constexpr std::size_t max_change_bytes_per_piece = wire::max_datagram_bytes - update_overhead_bytes;
-
-std::size_t max_encoded_size(wire::registration_change_record const& change)
-{
-    return change_overhead_bytes + change.name.get().size() + change.service.get().size() +
-           change.place.get().size();
-}
-
-wire::registration_change_record to_wire(registration_change const& change)
-{
-    wire::registration_change_record announced;
-    announced.name = wire::registry_text(change.name.get());
-    announced.state = wire::registration_state::gone;
-    if (!change.registration)
-        return announced;
-    upstream_registration const& registration = *change.registration;
-    announced.service = wire::registry_text(registration.service.get());
-    announced.place = wire::registry_text(registration.place.get());
-    announced.at = registration.at;
-    announced.slots = registration.slots.get();
-    announced.state = registration.state == upstream_state::ready
-                          ? wire::registration_state::ready
-                          : wire::registration_state::draining;
-    announced.cold_left_ms = static_cast<std::uint32_t>(
+/// Encoded size of a record without its names, rounded up.
+constexpr std::size_t record_overhead_bytes = 96;
+constexpr std::size_t max_record_bytes_per_piece = wire::max_datagram_bytes - update_overhead_bytes;
+
+std::size_t max_encoded_size(wire::registration_record const& record)
+{
+    return record_overhead_bytes + record.name.get().size() + record.service.get().size() +
+           record.place.get().size();
+}
+
+wire::registration_state state_on_wire(upstream_record const& record)
+{
+    if (!record.is_registered())
+        return wire::registration_state::gone;
+    return record.registration.state == upstream_state::ready ? wire::registration_state::ready
+                                                              : wire::registration_state::draining;
+}
+
+wire::registration_record to_wire(upstream_record const& record)
+{
+    upstream_registration const& registration = record.registration;
+    wire::registration_record encoded;
+    encoded.name = wire::registry_text(registration.name.get());
+    encoded.state = state_on_wire(record);
+    encoded.heartbeat = registration.heartbeat;
+    encoded.started_ms = registration.started_ms;
+    encoded.start_revision = record.start_revision;
+    encoded.written_at = record.written_at;
+    encoded.removed_at = record.removed_at.value_or(store_position{});
+    if (encoded.state == wire::registration_state::gone)
+        return encoded;
+    encoded.service = wire::registry_text(registration.service.get());
+    encoded.place = wire::registry_text(registration.place.get());
+    encoded.at = registration.at;
+    encoded.slots = registration.slots.get();
+    encoded.cold_left_ms = static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(registration.cold_left).count());
-    announced.heartbeat = registration.heartbeat;
-    announced.started_ms = registration.started_ms;
-    return announced;
+    return encoded;
+}
+
+upstream_record from_wire(wire::registration_record const& encoded)
+{
+    upstream_record record;
+    upstream_registration& registration = record.registration;
+    registration.name = upstream_name(encoded.name.get());
+    registration.service = service_name(encoded.service.get());
+    registration.at = encoded.at;
+    registration.place = place_name(encoded.place.get());
+    registration.slots = slot_count(encoded.slots);
+    registration.state = encoded.state == wire::registration_state::draining
+                             ? upstream_state::draining
+                             : upstream_state::ready;
+    registration.cold_left = std::chrono::milliseconds(encoded.cold_left_ms);
+    registration.heartbeat = encoded.heartbeat;
+    registration.started_ms = encoded.started_ms;
+    record.start_revision = encoded.start_revision;
+    record.written_at = encoded.written_at;
+    if (encoded.removed_at.version != store_version{})
+        record.removed_at = encoded.removed_at;
+    return record;
 }
 
-registration_change from_wire(wire::registration_change_record const& announced)
+std::vector<upstream_record>
+records_from_wire(std::vector<wire::registration_record> const& encoded_records)
 {
-    registration_change change{.name = upstream_name(announced.name.get()), .registration = {}};
-    if (announced.state == wire::registration_state::gone)
-        return change;
-    upstream_registration registration;
-    registration.name = change.name;
-    registration.service = service_name(announced.service.get());
-    registration.at = announced.at;
-    registration.place = place_name(announced.place.get());
-    registration.slots = slot_count(announced.slots);
-    registration.state = announced.state == wire::registration_state::ready
-                             ? upstream_state::ready
-                             : upstream_state::draining;
-    registration.cold_left = std::chrono::milliseconds(announced.cold_left_ms);
-    registration.heartbeat = announced.heartbeat;
-    registration.started_ms = announced.started_ms;
-    change.registration = registration;
-    return change;
+    std::vector<upstream_record> records;
+    for (wire::registration_record const& each : encoded_records)
+        records.push_back(from_wire(each));
+    return records;
+}
+
+/// Divides records among messages that are copies of an empty one. `list_of` returns a message's
+/// list of records.
+template <class Message, class ListOf>
+std::vector<Message> divide_records(std::vector<upstream_record> const& records,
+                                    Message const& empty_message, ListOf const& list_of)
+{
+    std::vector<Message> messages{empty_message};
+    std::size_t bytes = 0;
+    for (upstream_record const& each : records) {
+        wire::registration_record encoded = to_wire(each);
+        std::size_t const record_bytes = max_encoded_size(encoded);
+        bool const is_oversized = bytes + record_bytes > max_record_bytes_per_piece;
+        if (list_of(messages.back()).is_full() || is_oversized) {
+            messages.push_back(empty_message);
+            bytes = 0;
+        }
+        list_of(messages.back()).add(std::move(encoded));
+        bytes += record_bytes;
+    }
+    return messages;
 }
 
 /// The live members, the one with the highest hash first.
@@ -145,29 +185,27 @@
         present_names.insert(each.name);
     for (auto const& [name, existing] : registry.upstreams()) {
         if (!existing.removed && !present_names.contains(name))
-            changes.push_back({.name = name, .registration = {}});
+            changes.push_back({.name = name, .registration = {}, .at = {}});
     }
     return changes;
 }
 
+std::vector<upstream_name> names_of(std::vector<registration_change> const& changes)
+{
+    std::vector<upstream_name> names;
+    for (registration_change const& each : changes)
+        names.push_back(each.name);
+    return names;
+}
+
 std::vector<wire::registry_update_message>
 make_registry_update_pieces(store_position after, store_position up_to,
-                            std::vector<registration_change> const& changes)
+                            std::vector<upstream_record> const& records)
 {
     wire::registry_update_message const empty_piece{.after = after, .up_to = up_to, .changes = {}};
-    std::vector<wire::registry_update_message> pieces{empty_piece};
-    std::size_t piece_bytes = 0;
-    for (registration_change const& each : changes) {
-        wire::registration_change_record record = to_wire(each);
-        std::size_t const record_bytes = max_encoded_size(record);
-        bool const is_oversized = piece_bytes + record_bytes > max_change_bytes_per_piece;
-        if (pieces.back().changes.is_full() || is_oversized) {
-            pieces.push_back(empty_piece);
-            piece_bytes = 0;
-        }
-        pieces.back().changes.add(std::move(record));
-        piece_bytes += record_bytes;
-    }
+    auto pieces = divide_records(
+        records, empty_piece,
+        [](wire::registry_update_message & piece) -> auto& { return piece.changes; });
     if (pieces.size() > max_pieces) {
         pieces = {empty_piece};
         pieces.front().complete = false;
@@ -179,24 +217,37 @@
     return pieces;
 }
 
+std::vector<wire::registry_records_message>
+make_registry_records_messages(std::vector<upstream_record> const& records)
+{
+    return divide_records(
+        records, wire::registry_records_message{},
+        [](wire::registry_records_message & message) -> auto& { return message.records; });
+}
+
+std::vector<upstream_record> records_in(wire::registry_records_message const& message)
+{
+    return records_from_wire(message.records.get());
+}
+
 std::optional<assembled_registry_update>
 registry_update_assembler::add_piece(wire::registry_update_message const& piece)
 {
     position_range const key{piece.after, piece.up_to};
     incomplete_update& existing = incomplete_updates_[key];
     existing.last_used = ++use_count_;
-    std::vector<registration_change>& piece_changes = existing.pieces[piece.piece_index];
-    piece_changes.clear();
-    for (wire::registration_change_record const& each : piece.changes.get())
-        piece_changes.push_back(from_wire(each));
+    existing.pieces[piece.piece_index] = records_from_wire(piece.changes.get());
     if (existing.pieces.size() < piece.pieces) {
         evict_least_recently_used();
         return std::nullopt;
     }
-    assembled_registry_update assembled{
-        .after = piece.after, .up_to = piece.up_to, .complete = piece.complete, .changes = {}};
-    for (auto& [number, changes] : existing.pieces)
-        assembled.changes.insert(assembled.changes.end(), changes.begin(), changes.end());
+    assembled_registry_update assembled{.after = piece.after,
+                                        .up_to = piece.up_to,
+                                        .complete = piece.complete,
+                                        .registered_digest = piece.registered_digest,
+                                        .records = {}};
+    for (auto& [number, records] : existing.pieces)
+        assembled.records.insert(assembled.records.end(), records.begin(), records.end());
     incomplete_updates_.erase(key);
     return assembled;
 }
--- a/libraries/discovery/registry_update.hpp
+++ b/libraries/discovery/registry_update.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "libraries/discovery/discovery_store.hpp"
+#include "libraries/discovery/upstream_history.hpp"
 #include "libraries/discovery/upstream_registry.hpp"
 #include "libraries/membership/member_directory.hpp"
 #include "libraries/wire/messages.hpp"
@@ -39,21 +40,30 @@
 snapshot_differences(upstream_registry const& registry,
                      std::vector<registration_change> const& snapshot);
 
-/// Makes the update that carries `changes`, made after store position `after` and up to `up_to`,
-/// split into pieces that each fit in a datagram. When the changes don't fit in the largest number
-/// of pieces, a single empty piece marked as incomplete is returned, and its receivers must read
-/// the registry themselves.
+/// Returns the names of the upstreams that these changes concern.
+std::vector<upstream_name> names_of(std::vector<registration_change> const& changes);
+
+/// Makes the update that carries the records of the upstreams that changed after store position
+/// `after` and up to `up_to`, split into pieces that each fit in a datagram. When the records don't
+/// fit in the largest number of pieces, a single empty piece marked as incomplete is returned, and
+/// its receivers must read the registry themselves.
 std::vector<wire::registry_update_message>
 make_registry_update_pieces(store_position after, store_position up_to,
-                            std::vector<registration_change> const& changes);
+                            std::vector<upstream_record> const& records);
+
+/// Splits records into messages that each fit in a datagram.
+std::vector<wire::registry_records_message>
+make_registry_records_messages(std::vector<upstream_record> const& records);
+std::vector<upstream_record> records_in(wire::registry_records_message const& message);
 
-/// A registry update with the changes of all its pieces.
+/// A registry update with the records of all its pieces.
 struct assembled_registry_update
 {
     store_position after;
     store_position up_to;
     bool complete = true; ///< False when there were too many changes to send.
-    std::vector<registration_change> changes;
+    std::uint64_t registered_digest = 0;
+    std::vector<upstream_record> records;
 };
 
 /// Assembles registry updates from their pieces. The pieces of two readers may arrive interleaved,
@@ -67,7 +77,7 @@
 private:
     struct incomplete_update
     {
-        std::map<std::uint8_t, std::vector<registration_change>> pieces;
+        std::map<std::uint8_t, std::vector<upstream_record>> pieces;
         std::uint64_t last_used = 0;
     };
     using position_range = std::pair<store_position, store_position>;
--- a/libraries/discovery/upstream_registration.hpp
+++ b/libraries/discovery/upstream_registration.hpp
@@ -4,6 +4,7 @@
 #include "libraries/core/address.hpp"
 #include "libraries/core/clock.hpp"
 #include "libraries/core/ids.hpp"
+#include "libraries/core/store_position.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -43,6 +44,7 @@
 {
     upstream_name name;
     std::optional<upstream_registration> registration;
+    store_position at; ///< At which the store made this change.
 };
 
 } // namespace burdockstep
--- a/libraries/discovery/upstream_registry.cpp
+++ b/libraries/discovery/upstream_registry.cpp
@@ -1,6 +1,9 @@
 #include "libraries/discovery/upstream_registry.hpp"
 
+#include "libraries/core/digest.hpp"
+
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace burdockstep {
@@ -28,6 +31,11 @@
     return has_moved || counts_anew ? start_order::newer : start_order::same;
 }
 
+std::size_t digest_bucket_of(upstream_name const& name)
+{
+    return hash_of(name.get()) % upstream_registry::digest_buckets;
+}
+
 } // namespace
 
 upstream_registry::upstream_registry(registry_options options,
@@ -36,12 +44,12 @@
 {}
 
 void upstream_registry::apply_snapshot(std::vector<registration_change> const& snapshot,
-                                       time_point now, store_era era)
+                                       time_point now, store_position read_at)
 {
-    bool const is_restored_copy = has_snapshot_ && era > era_;
+    bool const is_restored_copy = has_snapshot_ && read_at.era > era_;
     if (is_restored_copy)
         note_store_returned(now);
-    era_ = std::max(era_, era);
+    era_ = std::max(era_, read_at.era);
     std::set<upstream_name> present_names;
     for (registration_change const& each : snapshot) {
         if (each.registration)
@@ -49,8 +57,15 @@
     }
     apply_changes(snapshot, now);
     for (auto const& [name, upstream] : upstreams_) {
-        if (!present_names.contains(name))
-            mark_missing(name, now, is_restored_copy || missing_.contains(name));
+        if (present_names.contains(name) || upstream.removed)
+            continue;
+        auto const missing = missing_.find(name);
+        bool const is_lost_with_history =
+            missing != missing_.end() && missing->second.lost_with_history_at;
+        if (is_restored_copy || is_lost_with_history)
+            note_lost_with_history(name, read_at, now);
+        else
+            apply_removal(name, read_at, now);
     }
     has_snapshot_ = true;
     resolve_missing(now);
@@ -61,67 +76,179 @@
 {
     for (registration_change const& each : changes) {
         if (each.registration)
-            apply_registration(*each.registration, now);
+            apply_write(each, now);
         else
-            mark_missing(each.name, now, false);
+            apply_removal(each.name, each.at, now);
+    }
+    resolve_missing(now);
+}
+
+void upstream_registry::merge_records(std::vector<upstream_record> const& records, time_point now)
+{
+    for (upstream_record const& each : records) {
+        upstream_name const& name = each.registration.name;
+        upstream_history& history = history_of(name, now);
+        if (each.removed_at)
+            history.merge_removal(*each.removed_at);
+        bool const is_news = history.merge_write(each.write());
+        if (is_news && history.is_registered())
+            adopt(each.registration, each.start_revision, now);
+        settle(name, now);
     }
     resolve_missing(now);
 }
 
 bool upstream_registry::is_significant_change(registration_change const& change) const
 {
-    auto const found = upstreams_.find(change.name);
+    auto const remembered = histories_.find(change.name);
+    if (remembered == histories_.end())
+        return change.registration.has_value();
+    upstream_history const& history = remembered->second.history;
     if (!change.registration)
-        return found != upstreams_.end() && !found->second.removed;
-    if (found == upstreams_.end() || found->second.removed || missing_.contains(change.name))
+        return !history.removed_at() || change.at > *history.removed_at();
+    auto const found = upstreams_.find(change.name);
+    if (found == upstreams_.end() || !history.is_registered() || missing_.contains(change.name))
         return true;
     upstream_registration const& known = found->second.registration;
     upstream_registration const& now = *change.registration;
     bool const became_cold =
         now.cold_left > duration::zero() && known.cold_left == duration::zero();
     bool const is_disputed = disputed_starts_.contains(change.name);
-    return is_disputed || order_of_starts(known, now) != start_order::same ||
-           now.state != known.state || now.slots != known.slots || now.place != known.place ||
-           became_cold;
+    return became_cold || is_disputed || order_of_starts(known, now) != start_order::same ||
+           now.state != known.state || now.slots != known.slots || now.place != known.place;
 }
 
-void upstream_registry::apply_registration(upstream_registration const& registration,
-                                           time_point now)
+std::vector<upstream_record> upstream_registry::records_of(std::vector<upstream_name> const& names,
+                                                           time_point now) const
 {
-    auto const [position, is_new] = upstreams_.try_emplace(registration.name);
-    known_upstream& known = position->second;
-    if (!is_new && is_outdated_copy(known, registration)) {
-        mark_missing(registration.name, now, true);
-        return;
+    std::vector<upstream_record> records;
+    for (upstream_name const& name : names) {
+        auto const remembered = histories_.find(name);
+        if (remembered == histories_.end() || !remembered->second.history.has_write())
+            continue;
+        upstream_history const& history = remembered->second.history;
+        upstream_record record;
+        if (history.is_registered()) {
+            known_upstream const& known = upstreams_.at(name);
+            record.registration = known.registration;
+            record.registration.cold_left = std::max(known.cold_until - now, duration::zero());
+        }
+        registration_write const& write = history.newest_write();
+        record.registration.name = name;
+        record.registration.started_ms = write.started_ms;
+        record.registration.heartbeat = write.heartbeat;
+        record.start_revision = write.start_revision;
+        record.written_at = write.position;
+        record.removed_at = history.removed_at();
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+upstream_registry::bucket_digests upstream_registry::registered_digests() const
+{
+    bucket_digests digests{};
+    for (auto const& [name, known] : upstreams_) {
+        upstream_history const& history = histories_.at(name).history;
+        if (!history.is_registered() || known.registration.state == upstream_state::draining)
+            continue;
+        registration_write const& write = history.newest_write();
+        std::uint64_t const start_hash = hash_of(
+            name.get(), static_cast<std::uint64_t>(write.started_ms) + write.start_revision);
+        digests.at(digest_bucket_of(name)) ^= static_cast<std::uint32_t>(start_hash);
+    }
+    return digests;
+}
+
+std::vector<upstream_name> upstream_registry::names_in(std::set<std::size_t> const& buckets) const
+{
+    std::vector<upstream_name> names;
+    for (auto const& [name, remembered] : histories_) {
+        if (buckets.contains(digest_bucket_of(name)))
+            names.push_back(name);
+    }
+    return names;
+}
+
+upstream_history& upstream_registry::history_of(upstream_name const& name, time_point now)
+{
+    remembered_history& remembered = histories_[name];
+    remembered.last_used = now;
+    return remembered.history;
+}
+
+void upstream_registry::apply_write(registration_change const& change, time_point now)
+{
+    upstream_registration const& registration = *change.registration;
+    upstream_history& history = history_of(change.name, now);
+    registration_write received{.started_ms = registration.started_ms,
+                                .heartbeat = registration.heartbeat,
+                                .position = change.at};
+    if (history.has_write()) {
+        registration_write const& known = history.newest_write();
+        received.start_revision = known.start_revision;
+        bool const is_former_start = received.started_ms != 0 && known.started_ms != 0 &&
+                                     received.started_ms < known.started_ms;
+        if (is_former_start && change.at.era > known.position.era) {
+            note_lost_with_history(change.name, change.at, now);
+            return;
+        }
+        if (is_former_start) {
+            if (!is_start_after_clock_step(registration, now))
+                return;
+            ++received.start_revision;
+        }
     }
-    start_order const order =
-        is_new ? start_order::newer : order_of_starts(known.registration, registration);
-    if (order == start_order::older && !is_start_after_clock_step(registration, now))
+    disputed_starts_.erase(change.name);
+    if (history.merge_write(received) && history.is_registered())
+        adopt(registration, received.start_revision, now);
+    settle(change.name, now);
+}
+
+void upstream_registry::apply_removal(upstream_name const& name, store_position at, time_point now)
+{
+    history_of(name, now).merge_removal(at);
+    settle(name, now);
+}
+
+void upstream_registry::note_lost_with_history(upstream_name const& name, store_position at,
+                                               time_point now)
+{
+    auto const found = upstreams_.find(name);
+    if (found == upstreams_.end() || found->second.removed)
         return;
-    disputed_starts_.erase(registration.name);
-    missing_.erase(registration.name);
-    bool const is_replacement = order != start_order::same;
+    missing_registration const first_missing{.since = now, .lost_with_history_at = at};
+    missing_registration& missing = missing_.try_emplace(name, first_missing).first->second;
+    // A removal that the store reports in its new history is final.
+    if (missing.lost_with_history_at)
+        missing.lost_with_history_at = std::max(*missing.lost_with_history_at, at);
+}
+
+void upstream_registry::adopt(upstream_registration const& registration,
+                              std::uint32_t start_revision, time_point now)
+{
+    auto const [position, is_new] = upstreams_.try_emplace(registration.name);
+    known_upstream& known = position->second;
+    bool const is_replacement =
+        is_new || start_revision != known.start_revision ||
+        order_of_starts(known.registration, registration) != start_order::same;
     if (is_replacement) {
         auto const region = regions_by_place_.find(registration.place);
         known = {.registration = registration,
+                 .start_revision = start_revision,
                  .region = region == regions_by_place_.end() ? region_name{} : region->second,
                  .first_seen = now,
                  .cold_until = {},
-                 .removed_at = {},
-                 .era = {}};
+                 .removed_at = {}};
         known.evacuated = evacuated_places_.contains(registration.place);
         known.draining = has_leaving_mark(registration);
         ++change_count_;
     }
-    known.era = era_;
-    if (!is_replacement && registration.heartbeat < known.registration.heartbeat)
-        return; // An older write of the same incarnation.
     bool const reports_draining = registration.state == upstream_state::draining;
     bool const was_usable = known.is_usable();
     if (reports_draining)
         keep_leaving_mark(registration.name, registration.incarnation(), now);
     known.draining = known.draining || reports_draining;
-    known.removed = false;
     if (registration.cold_left > duration::zero())
         known.cold_until = now + registration.cold_left;
     bool const slots_changed = known.registration.slots != registration.slots;
@@ -130,6 +257,24 @@
         ++change_count_;
 }
 
+void upstream_registry::settle(upstream_name const& name, time_point now)
+{
+    auto const found = upstreams_.find(name);
+    if (found == upstreams_.end())
+        return;
+    known_upstream& known = found->second;
+    if (histories_.at(name).history.is_registered()) {
+        missing_.erase(name);
+        change_count_ += known.removed ? 1 : 0;
+        known.removed = false;
+    }
+    else if (!known.removed) {
+        missing_registration& missing =
+            missing_.try_emplace(name, missing_registration{.since = now}).first->second;
+        missing.lost_with_history_at.reset();
+    }
+}
+
 bool upstream_registry::is_start_after_clock_step(upstream_registration const& registration,
                                                   time_point now)
 {
@@ -145,34 +290,6 @@
            now - disputed.since >= options_.silence_of_ended_start;
 }
 
-bool upstream_registry::is_outdated_copy(known_upstream const& known,
-                                         upstream_registration const& registration) const
-{
-    if (known.era == era_)
-        return false;
-    upstream_registration const& newest = known.registration;
-    bool const is_same_or_older_write = registration.heartbeat <= newest.heartbeat;
-    if (newest.started_ms != 0 && registration.started_ms != 0) {
-        bool const is_removed_incarnation =
-            known.removed && registration.started_ms == newest.started_ms;
-        return registration.started_ms < newest.started_ms ||
-               (is_removed_incarnation && is_same_or_older_write);
-    }
-    return known.removed ? is_same_or_older_write : registration.heartbeat < newest.heartbeat;
-}
-
-void upstream_registry::mark_missing(upstream_name const& name, time_point now,
-                                     bool in_restored_copy)
-{
-    auto const found = upstreams_.find(name);
-    if (found == upstreams_.end() || found->second.removed)
-        return;
-    missing_registration& missing =
-        missing_.try_emplace(name, missing_registration{now, true}).first->second;
-    // A removal that the store reports in its new history is final.
-    missing.in_restored_copy = missing.in_restored_copy && in_restored_copy;
-}
-
 std::size_t upstream_registry::count_missing(service_name const& service) const
 {
     return static_cast<std::size_t>(
@@ -210,14 +327,18 @@
     std::erase_if(missing_, [&](auto const& item) {
         known_upstream& known = upstreams_.at(item.first);
         bool const in_recovery = now < recovery_grace_end_;
-        if (item.second.in_restored_copy && in_recovery)
+        if (item.second.lost_with_history_at && in_recovery)
             return false;
         bool const in_grace = now - item.second.since < options_.mass_loss_grace || in_recovery;
         if (has_mass_loss[known.registration.service] && in_grace)
             return false;
+        // The position is that of the copy that lacked it: it may have been written again since.
+        if (item.second.lost_with_history_at)
+            histories_.at(item.first).history.merge_removal(*item.second.lost_with_history_at);
+        if (histories_.at(item.first).history.is_registered())
+            return true;
         known.removed = true;
         known.removed_at = now;
-        known.era = era_;
         ++change_count_;
         return true;
     });
@@ -300,9 +421,28 @@
         return item.second.removed &&
                now - item.second.removed_at > options_.removed_upstream_retention;
     });
+    expire_histories(now);
     std::erase_if(disputed_starts_,
-                  [&](auto const& item) { return !upstreams_.contains(item.first); });
+                  [&](auto const& item) { return !histories_.contains(item.first); });
     return change_count_ != before;
 }
 
+void upstream_registry::expire_histories(time_point now)
+{
+    std::erase_if(histories_, [&](auto const& item) {
+        bool const is_in_use = upstreams_.contains(item.first);
+        return !is_in_use && now - item.second.last_used > options_.history_retention;
+    });
+    std::size_t const limit = upstreams_.size() + options_.max_removed_histories;
+    while (histories_.size() > limit) {
+        auto const is_used_earlier = [&](auto const& left, auto const& right) {
+            bool const left_in_use = upstreams_.contains(left.first);
+            bool const right_in_use = upstreams_.contains(right.first);
+            return std::tuple(left_in_use, left.second.last_used) <
+                   std::tuple(right_in_use, right.second.last_used);
+        };
+        histories_.erase(std::min_element(histories_.begin(), histories_.end(), is_used_earlier));
+    }
+}
+
 } // namespace burdockstep
--- a/libraries/discovery/upstream_registry.hpp
+++ b/libraries/discovery/upstream_registry.hpp
@@ -4,9 +4,12 @@
 
 #include "libraries/core/clock.hpp"
 #include "libraries/core/store_position.hpp"
+#include "libraries/discovery/upstream_history.hpp"
 #include "libraries/discovery/upstream_registration.hpp"
 
+#include <array>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -16,6 +19,7 @@
 struct known_upstream
 {
     upstream_registration registration;
+    std::uint32_t start_revision = 0; ///< See `registration_write`.
     region_name region;
     time_point first_seen;
     time_point cold_until;
@@ -23,7 +27,6 @@
     bool removed = false;  ///< Its registration is gone.
     time_point removed_at;
     bool evacuated = false; ///< Its place is evacuated and receives no requests.
-    store_era era;          ///< Of the store when its registration was last taken or removed.
 
     /// Returns true when it may receive requests.
     bool is_usable() const { return !draining && !removed && !evacuated; }
@@ -42,6 +45,11 @@
     /// A removed upstream is forgotten after this time; by then the requests that were in progress
     /// at it have ended.
     duration removed_upstream_retention = std::chrono::seconds(30);
+    /// The newest write and removal of an upstream are remembered for this time after the removal:
+    /// longer than the store may perform a write late or may be away.
+    duration history_retention = std::chrono::minutes(10);
+    /// Of more removed upstreams than this, those that were removed first are forgotten.
+    std::size_t max_removed_histories = 4'096;
     /// The start that is known has ended when it writes nothing for this time while another start
     /// writes: several intervals in which a live upstream writes.
     duration silence_of_ended_start = std::chrono::seconds(6);
@@ -60,16 +68,32 @@
 public:
     upstream_registry(registry_options options, std::map<place_name, region_name> regions_by_place);
 
-    /// Applies the whole content of the platform's registry: upstreams that aren't in it have no
-    /// registration. When `era` is newer than before, the content comes from an older copy: what it
-    /// lacks is kept for a time, and what it has isn't newer than what is known.
+    /// Applies the whole content of the platform's registry as of `read_at`: upstreams that aren't
+    /// in it have no registration. When its era is newer than before, the content comes from an
+    /// older copy: what it lacks is kept for a time, and what it has isn't newer than what is
+    /// known.
     void apply_snapshot(std::vector<registration_change> const& snapshot, time_point now,
-                        store_era era = {});
+                        store_position read_at = {});
     void apply_changes(std::vector<registration_change> const& changes, time_point now);
-    /// Returns true when a change carries more than a new heartbeat of a known upstream or the
-    /// removal of an unknown one. While two starts of an upstream write, all their heartbeats
-    /// count.
+    /// Applies what another entry knows. The records may be old, repeated or in any order.
+    void merge_records(std::vector<upstream_record> const& records, time_point now);
+    /// Returns true when other entries must be told of a change: it carries more than a new
+    /// heartbeat of a known upstream or the removal of an unknown one. While two starts of an
+    /// upstream write, all their heartbeats count.
     bool is_significant_change(registration_change const& change) const;
+    /// Returns what is known of these upstreams, ready to be sent to other entries. Upstreams of
+    /// which nothing is known are left out.
+    std::vector<upstream_record> records_of(std::vector<upstream_name> const& names,
+                                            time_point now) const;
+
+    /// Number of groups, by the hash of the name, into which upstreams are divided to be compared.
+    static constexpr std::size_t digest_buckets = 32;
+    using bucket_digests = std::array<std::uint32_t, digest_buckets>;
+    /// Returns a digest for each bucket of the upstreams that are registered and not draining, with
+    /// their starts. It is the same at entries that know the same.
+    bucket_digests registered_digests() const;
+    /// Returns the names of all upstreams in these buckets, removed ones too.
+    std::vector<upstream_name> names_in(std::set<std::size_t> const& buckets) const;
     /// Starts the grace period for mass losses. Called when the store answers again after an
     /// outage.
     void note_store_returned(time_point now);
@@ -102,11 +126,19 @@
         time_point reported_at;
     };
 
-    /// A registration that is gone from the store.
+    /// A registration that is gone from the store, of an upstream that isn't removed yet.
     struct missing_registration
     {
         time_point since;
-        bool in_restored_copy = false; ///< Lost with the store's history: it may be written again.
+        /// Set if it was lost with the store's history, at this position: it may be written again.
+        std::optional<store_position> lost_with_history_at;
+    };
+
+    /// What is remembered of an upstream's registration.
+    struct remembered_history
+    {
+        upstream_history history;
+        time_point last_used; ///< When something of it was last read or told.
     };
 
     /// A start that writes registrations though a newer start is known.
@@ -121,16 +153,21 @@
     bool has_leaving_mark(upstream_registration const& registration) const;
     void keep_leaving_mark(upstream_name const& name, upstream_incarnation incarnation,
                            time_point now);
-    void apply_registration(upstream_registration const& registration, time_point now);
+    upstream_history& history_of(upstream_name const& name, time_point now);
+    void apply_write(registration_change const& change, time_point now);
+    void apply_removal(upstream_name const& name, store_position at, time_point now);
+    /// Notes that a restored copy lacks the registration, which may be written again.
+    void note_lost_with_history(upstream_name const& name, store_position at, time_point now);
+    /// Takes over a write that is newer than the known one.
+    void adopt(upstream_registration const& registration, std::uint32_t start_revision,
+               time_point now);
+    /// Brings the upstream's state in line with its history.
+    void settle(upstream_name const& name, time_point now);
     /// Returns true if the start of this registration, which is older than the known one by the
     /// clock, is the present one after all: it goes on writing, and the known one doesn't. A single
     /// write of a former start may be performed late.
     bool is_start_after_clock_step(upstream_registration const& registration, time_point now);
-    /// Returns true for a registration that an older copy of the store has brought back: a former
-    /// incarnation, or one that was removed.
-    bool is_outdated_copy(known_upstream const& known,
-                          upstream_registration const& registration) const;
-    void mark_missing(upstream_name const& name, time_point now, bool in_restored_copy);
+    void expire_histories(time_point now);
     void resolve_missing(time_point now);
     std::size_t count_missing(service_name const& service) const;
     std::size_t count_usable(service_name const& service) const;
@@ -138,7 +175,8 @@
     registry_options options_;
     std::map<place_name, region_name> regions_by_place_;
     std::map<upstream_name, known_upstream> upstreams_;
-    std::map<upstream_name, missing_registration> missing_; ///< Gone, not removed yet.
+    std::map<upstream_name, remembered_history> histories_;
+    std::map<upstream_name, missing_registration> missing_;
     std::map<upstream_name, leaving_mark> leaving_marks_;
     std::map<upstream_name, disputed_start> disputed_starts_;
     std::set<place_name> evacuated_places_;
--- a/libraries/wire/codec.hpp
+++ b/libraries/wire/codec.hpp
@@ -11,7 +11,7 @@
 namespace burdockstep::wire {
 
 /// The wire version that this program writes and the only one that it reads.
-constexpr std::uint8_t wire_version = 4;
+constexpr std::uint8_t wire_version = 5;
 /// Size limit of a datagram, chosen so that none is fragmented on links with the usual MTU.
 constexpr std::size_t max_datagram_bytes = 1'400;
 /// Size limit of a message over TCP.
--- a/libraries/wire/messages.hpp
+++ b/libraries/wire/messages.hpp
@@ -271,14 +271,14 @@
 {
     ready = 0,
     draining = 1,
-    gone = 2 ///< The registration has been removed or can't be parsed.
+    gone = 2 ///< The newest removal is newer than the newest write.
 };
 
 using checked_registration_state =
     checked_byte<registration_state, static_cast<std::uint8_t>(registration_state::gone)>;
 
-/// One changed registration, as sent by an entry that read the registry.
-struct registration_change_record
+/// What an entry knows of one upstream's registration: its newest write and its newest removal.
+struct registration_record
 {
     registry_text name;
     registry_text service;
@@ -289,16 +289,19 @@
     std::uint32_t cold_left_ms = 0; ///< Time until the cold start is over.
     std::int64_t heartbeat = 0;     ///< Sequence number of the upstream's last heartbeat.
     std::int64_t started_ms = 0;    ///< Wall clock at the upstream's start.
+    /// How often an earlier start has replaced a later one, because a clock had stepped back.
+    std::uint32_t start_revision = 0;
+    store_position written_at; ///< Of the newest write.
+    store_position removed_at; ///< Of the newest removal; version 0 if none is known.
 
     template <class Archive>
     void serialize(Archive& archive)
     {
         archive(name, service, place, at, slots, checked_registration_state(state), cold_left_ms,
-                heartbeat, started_ms);
+                heartbeat, started_ms, start_revision, written_at, removed_at);
     }
 
-    friend bool operator==(registration_change_record const&,
-                           registration_change_record const&) = default;
+    friend bool operator==(registration_record const&, registration_record const&) = default;
 };
 
 /// Changes of the registry between two positions of the store, sent by an entry that read them. It
@@ -312,19 +315,55 @@
     bool complete = true;         ///< If false, not all changes fitted: read the registry.
     std::uint8_t piece_index = 0; ///< Position among the update's pieces, from 0.
     std::uint8_t pieces = 1;      ///< Number of datagrams that the update is split into.
-    bounded_list<registration_change_record, 8> changes;
+    /// Digest of the upstreams that are registered at `up_to`. A receiver with another digest at
+    /// the same position sends a `registry_question`.
+    std::uint64_t registered_digest = 0;
+    bounded_list<registration_record, 8> changes;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
         archive(after, up_to, directives, entries, checked_bool(complete), piece_index, pieces,
-                changes);
+                registered_digest, changes);
     }
 
     friend bool operator==(registry_update_message const&,
                            registry_update_message const&) = default;
 };
 
+/// Asks an entry for what it knows of the upstreams in the buckets whose digests differ from its
+/// own.
+struct registry_question
+{
+    /// One for each bucket of upstreams, by the hash of their names.
+    bounded_list<std::uint32_t, 32> digests;
+    /// Asked in return: the sender has sent its own records of the buckets that differ.
+    bool is_counter_question = false;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(digests, checked_bool(is_counter_question));
+    }
+
+    friend bool operator==(registry_question const&, registry_question const&) = default;
+};
+
+/// Answers `registry_question`, in as many datagrams as are needed.
+struct registry_records_message
+{
+    bounded_list<registration_record, 8> records;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(records);
+    }
+
+    friend bool operator==(registry_records_message const&,
+                           registry_records_message const&) = default;
+};
+
 /// Entries whose records changed between two positions of the list of entries, sent by an entry
 /// that read them.
 struct entries_update_message
@@ -488,9 +527,10 @@
 };
 
 /// Any message. The index of an alternative is the type byte of the encoding.
-using message = std::variant<heartbeat, pool_report, state_request, state_answer, slot_report,
-                             registry_update_message, entries_update_message, member_records,
-                             directives_question, directives_proof, entry_capacities_message,
-                             place_slot_report, quota_questions, quota_grants>;
+using message =
+    std::variant<heartbeat, pool_report, state_request, state_answer, slot_report,
+                 registry_update_message, entries_update_message, member_records,
+                 directives_question, directives_proof, entry_capacities_message, place_slot_report,
+                 quota_questions, quota_grants, registry_question, registry_records_message>;
 
 } // namespace burdockstep::wire
--- a/services/burdockstep_gateway/discovery/discovery_task.cpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.cpp
@@ -61,7 +61,8 @@
     registrations_reader_.publish_upstreams();
 }
 
-void discovery_task::handle_update(wire::registry_update_message const& update)
+void discovery_task::handle_update(address const& sender,
+                                   wire::registry_update_message const& update)
 {
     ++updates_received_;
     for (store_position const& each : {update.up_to, update.directives, update.entries})
@@ -72,15 +73,32 @@
         return;
     store_monitor_.record_peer_update();
     auto const assembled_update = update_assembler_.add_piece(update);
-    if (assembled_update && registrations_reader_.handle_update(*assembled_update))
+    if (!assembled_update)
+        return;
+    if (registrations_reader_.handle_update(*assembled_update))
         set_receives_updates(true);
+    if (auto question = registrations_reader_.compare_digest(*assembled_update))
+        context_.post(registry_message_ready{.to = sender, .message = std::move(*question)});
+}
+
+void discovery_task::handle_question(registry_question_received const& asked)
+{
+    registry_repair_answer answer = registrations_reader_.answer(asked.question);
+    for (wire::registry_records_message& each : answer.records)
+        context_.post(registry_message_ready{.to = asked.from, .message = std::move(each)});
+    if (answer.counter_question) {
+        context_.post(registry_message_ready{.to = asked.from,
+                                             .message = std::move(*answer.counter_question)});
+    }
 }
 
 void discovery_task::broadcast_updates(std::vector<wire::registry_update_message> update_pieces)
 {
+    std::uint64_t const digest = registrations_reader_.registered_digest();
     for (wire::registry_update_message& each : update_pieces) {
         each.directives = directives_reader_.last_change();
         each.entries = entries_reader_.last_change();
+        each.registered_digest = digest;
         context_.post(registry_update_ready{.update = std::move(each)});
     }
 }
@@ -149,7 +167,13 @@
         directives_confirmer_.set_members(members->members);
     }
     else if (auto const* const update = std::get_if<registry_update_received>(&new_event)) {
-        handle_update(update->update);
+        handle_update(update->from, update->update);
+    }
+    else if (auto const* const asked = std::get_if<registry_question_received>(&new_event)) {
+        handle_question(*asked);
+    }
+    else if (auto const* const told = std::get_if<registry_records_received>(&new_event)) {
+        registrations_reader_.handle_records(told->message);
     }
     else if (auto const* const received_entries_update =
                  std::get_if<entries_update_received>(&new_event)) {
@@ -207,6 +231,7 @@
     write_metric("store_reachable", store_monitor_.is_reachable() ? 1 : 0);
     write_metric("store_era", store_monitor_.era().get());
     write_metric("store_replacements_total", store_monitor_.replacements());
+    registrations_reader_.write_metrics(out);
     directives_confirmer_.write_metrics(out);
     write_metric("configuration_version",
                  directives_reader_.document() ? directives_reader_.document()->version.get() : 0);
--- a/services/burdockstep_gateway/discovery/discovery_task.hpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.hpp
@@ -28,7 +28,8 @@
 
 private:
     void update_evacuations(std::set<place_name> const& evacuated);
-    void handle_update(wire::registry_update_message const& update);
+    void handle_update(address const& sender, wire::registry_update_message const& update);
+    void handle_question(registry_question_received const& asked);
     void broadcast_updates(std::vector<wire::registry_update_message> update_pieces);
     void broadcast_directives_version();
     void end_startup();
--- a/services/burdockstep_gateway/discovery/registrations_reader.cpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.cpp
@@ -3,6 +3,9 @@
 #include "libraries/discovery/registry_read_interval.hpp"
 #include "libraries/discovery/store_history.hpp"
 
+#include <fmt/format.h>
+
+#include <iterator>
 #include <utility>
 
 namespace burdockstep::gateway {
@@ -18,7 +21,7 @@
                                            store_monitor& monitor, reader_callbacks callbacks)
     : context_(context), store_client_(store_client), store_monitor_(monitor),
       callbacks_(std::move(callbacks)), registry_({}, context.settings.places),
-      read_timer_(context.loop)
+      read_timer_(context.loop), repair_({})
 {}
 
 duration registrations_reader::read_interval() const
@@ -128,18 +131,20 @@
     discovery_store_answer<std::vector<registration_change>> const& answer, bool is_full_read)
 {
     time_point const now = context_.clock.now();
-    auto const update = is_full_read ? snapshot_differences(registry_, answer.content)
-                                     : significant_changes(registry_, answer.content);
+    std::vector<upstream_name> const changed =
+        names_of(is_full_read ? snapshot_differences(registry_, answer.content)
+                              : significant_changes(registry_, answer.content));
     bool const is_announced_by_differences = std::exchange(history_truncated_, false);
     bool const continues_known_position =
         answer.position.era == position_.era && (!is_full_read || is_announced_by_differences);
     if (is_full_read)
-        registry_.apply_snapshot(answer.content, now, answer.position.era);
+        registry_.apply_snapshot(answer.content, now, answer.position);
     else
         registry_.apply_changes(answer.content, now);
     bool const announces = is_registry_reader_ || std::exchange(stands_in_for_readers_, false);
     if (continues_known_position && announces)
-        callbacks_.on_changes_read(make_registry_update_pieces(position_, answer.position, update));
+        callbacks_.on_changes_read(make_registry_update_pieces(position_, answer.position,
+                                                               registry_.records_of(changed, now)));
     // A full read that began before the store's recovery was noted is repeated.
     has_full_registry_ = has_full_registry_ || is_full_read;
     position_ = answer.position;
@@ -147,7 +152,13 @@
 
 bool registrations_reader::handle_update(assembled_registry_update const& update)
 {
-    if (!has_full_registry_ || update.up_to < position_)
+    if (!has_full_registry_)
+        return true;
+    // Whatever the update's positions are, its records can be merged.
+    registry_.merge_records(update.records, context_.clock.now());
+    registry_.expire(context_.clock.now());
+    publish_upstreams();
+    if (update.up_to < position_)
         return true;
     bool const is_other_history = update.up_to.era != position_.era;
     bool const has_gap = !update.complete || update.after > position_ || is_other_history;
@@ -161,14 +172,52 @@
     has_received_update_ = true;
     // An update without changes confirms that the registry is unchanged up to its version.
     position_ = update.up_to;
-    registry_.apply_changes(update.changes, context_.clock.now());
-    registry_.expire(context_.clock.now());
-    publish_upstreams();
     if (!is_registry_reader_ && !read_pending_)
         schedule_read(read_interval());
     return true;
 }
 
+std::uint64_t registrations_reader::registered_digest() const
+{
+    return combined_digest(registry_.registered_digests());
+}
+
+std::optional<wire::registry_question>
+registrations_reader::compare_digest(assembled_registry_update const& update)
+{
+    if (!has_full_registry_ || update.up_to != position_)
+        return std::nullopt;
+    auto question = repair_.compare(update.registered_digest, registry_, entries_, context_.random,
+                                    context_.clock.now());
+    if (question) {
+        log_.info("another entry knows other upstreams; asking it",
+                  {field("store_era", position_.era.get()),
+                   field("store_version", position_.version.get())});
+    }
+    return question;
+}
+
+registry_repair_answer registrations_reader::answer(wire::registry_question const& question)
+{
+    if (!has_full_registry_)
+        return {};
+    return repair_.answer(question, registry_, context_.clock.now());
+}
+
+void registrations_reader::handle_records(wire::registry_records_message const& message)
+{
+    registry_.merge_records(records_in(message), context_.clock.now());
+    publish_upstreams();
+}
+
+void registrations_reader::write_metrics(std::string& out) const
+{
+    fmt::format_to(std::back_inserter(out), "burdockstep_registry_differences_total {}\n",
+                   repair_.differences());
+    fmt::format_to(std::back_inserter(out), "burdockstep_registry_questions_answered_total {}\n",
+                   repair_.questions_answered());
+}
+
 void registrations_reader::publish_upstreams()
 {
     if (registry_.changes() == published_changes_)
--- a/services/burdockstep_gateway/discovery/registrations_reader.hpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.hpp
@@ -5,10 +5,13 @@
 
 #include "libraries/core/log.hpp"
 #include "libraries/discovery/discovery_store.hpp"
+#include "libraries/discovery/registry_repair.hpp"
 #include "libraries/discovery/registry_update.hpp"
 #include "libraries/discovery/upstream_registry.hpp"
 
 #include <functional>
+#include <optional>
+#include <string>
 
 namespace burdockstep::gateway {
 
@@ -44,6 +47,13 @@
     /// Applies changes that another entry has read. Returns false when changes are missing, so that
     /// this entry must read the registry itself.
     bool handle_update(assembled_registry_update const& update);
+    /// Returns a question for the update's sender if it knows other upstreams as registered.
+    std::optional<wire::registry_question> compare_digest(assembled_registry_update const& update);
+    registry_repair_answer answer(wire::registry_question const& question);
+    /// Merges what another entry knows.
+    void handle_records(wire::registry_records_message const& message);
+    /// Digest of the upstreams that this entry knows as registered.
+    std::uint64_t registered_digest() const;
 
     upstream_registry& registry() { return registry_; }
     upstream_registry const& registry() const { return registry_; }
@@ -51,6 +61,7 @@
     bool has_full_registry() const { return has_full_registry_; }
     /// Posts the upstreams to the other tasks if any of them has changed.
     void publish_upstreams();
+    void write_metrics(std::string& out) const;
 
 private:
     void start_read();
@@ -68,6 +79,7 @@
     logger log_{"registrations"};
     upstream_registry registry_;
     timer read_timer_;
+    registry_repair repair_;
     store_position position_;
     std::uint64_t published_changes_ = 0;
     bool is_registry_reader_ = false;
--- a/services/burdockstep_gateway/events.hpp
+++ b/services/burdockstep_gateway/events.hpp
@@ -124,9 +124,30 @@
 /// Registry changes that another entry has read and sent.
 struct registry_update_received
 {
+    address from;
     wire::registry_update_message update;
 };
 
+/// Another entry asks what this one knows of some upstreams.
+struct registry_question_received
+{
+    address from;
+    wire::registry_question question;
+};
+
+/// Another entry has told what it knows of some upstreams.
+struct registry_records_received
+{
+    wire::registry_records_message message;
+};
+
+/// A question about upstreams, or a part of the answer, ready to be sent to one entry.
+struct registry_message_ready
+{
+    address to;
+    wire::message message;
+};
+
 /// Changes of the list of entries that this entry has read, ready to be sent to all entries.
 struct entries_update_ready
 {
@@ -228,7 +249,8 @@
     store_reachability_changed, process_resumed, stop_begun, caller_grace_period_ended,
     process_ending, directives_confirmed, key_confirmation_wanted, confirmation_message_ready,
     directives_question_received, directives_proof_received, entry_capacities_ready,
-    place_report_ready, place_report_received, quota_message_ready, quota_message_received>;
+    place_report_ready, place_report_received, quota_message_ready, quota_message_received,
+    registry_question_received, registry_records_received, registry_message_ready>;
 
 /// Queues an event for delivery to all tasks.
 using event_sink = std::function<void(event)>;
--- a/services/burdockstep_gateway/peers/datagram_counters.cpp
+++ b/services/burdockstep_gateway/peers/datagram_counters.cpp
@@ -10,10 +10,10 @@
 
 /// Names of the alternatives of `wire::message`, in their order.
 constexpr std::array<char const*, std::variant_size_v<wire::message>> message_names{
-    "heartbeat",           "pool_report",      "state_request",    "state_answer",
-    "slot_report",         "registry_update",  "entries_update",   "member_records",
-    "directives_question", "directives_proof", "entry_capacities", "place_slot_report",
-    "quota_questions",     "quota_grants"};
+    "heartbeat",           "pool_report",      "state_request",     "state_answer",
+    "slot_report",         "registry_update",  "entries_update",    "member_records",
+    "directives_question", "directives_proof", "entry_capacities",  "place_slot_report",
+    "quota_questions",     "quota_grants",     "registry_question", "registry_records"};
 
 } // namespace
 
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -60,7 +60,12 @@
                 context_.post(slot_report_received{.report = *report});
             else if (auto const* const update =
                          std::get_if<wire::registry_update_message>(&message))
-                context_.post(registry_update_received{.update = *update});
+                context_.post(registry_update_received{.from = from, .update = *update});
+            else if (auto const* const asked = std::get_if<wire::registry_question>(&message))
+                context_.post(registry_question_received{.from = from, .question = *asked});
+            else if (auto const* const known =
+                         std::get_if<wire::registry_records_message>(&message))
+                context_.post(registry_records_received{.message = *known});
             else if (auto const* const listed = std::get_if<wire::entries_update_message>(&message))
                 context_.post(entries_update_received{.update = *listed});
             else if (auto const* const question = std::get_if<wire::directives_question>(&message))
@@ -269,6 +274,9 @@
     else if (auto const* const confirmation = std::get_if<confirmation_message_ready>(&new_event)) {
         send(confirmation->message, {confirmation->to});
     }
+    else if (auto const* const repair = std::get_if<registry_message_ready>(&new_event)) {
+        send(repair->message, {repair->to});
+    }
     else if (auto const* const told = std::get_if<entry_capacities_ready>(&new_event)) {
         send_to_all(told->capacities);
     }
--- a/tests/fuzz/platform_documents_target.cpp
+++ b/tests/fuzz/platform_documents_target.cpp
@@ -31,8 +31,10 @@
             require(registration.at.port != 0);
             require(registration.slots.get() > 0 && registration.slots.get() <= 65'535);
             require(registration.cold_left >= duration::zero());
-            for (wire::registry_update_message const& each : make_registry_update_pieces(
-                     {}, {}, {{.name = name, .registration = registration}}))
+            upstream_record const record{
+                .registration = registration, .written_at = {}, .removed_at = {}};
+            for (wire::registry_update_message const& each :
+                 make_registry_update_pieces({}, {}, {record}))
                 require(wire::encode(each).size() <= wire::max_datagram_bytes);
             return {};
         },
--- a/tests/fuzz/wire_target.cpp
+++ b/tests/fuzz/wire_target.cpp
@@ -41,6 +41,10 @@
                         .service = wire::registry_text("s"),
                         .place = wire::registry_text("p"),
                         .slots = 3});
+    wire::registry_question question{.digests = {}, .is_counter_question = true};
+    question.digests.add(5);
+    wire::registry_records_message known;
+    known.records.add(update.changes.get().front());
     wire::slot_report report{.instance = wire::name_text("entry-1"), .counts = {}};
     report.counts.add({.upstream = 5, .under_way = 2});
     wire::entries_update_message entries{
@@ -63,6 +67,8 @@
             wire::encode(grants),
             wire::encode(records),
             wire::encode(update),
+            wire::encode(question),
+            wire::encode(known),
             wire::encode(report),
             wire::encode(entries),
             wire::encode(wire::state_request{.known_version = 4}),
--- /dev/null
+++ b/tests/process/test_registry_agreement.py
@@ -0,0 +1,114 @@
+"""Gateways that read the registry, those that are told of it, and those that start late must agree
+on which upstreams have left, whatever the store writes late or brings back from an older copy."""
+import json
+import sys
+import time
+
+from deployment import wait_until
+from test_gateway import GATEWAY_COUNT, GatewayDeployment, metric, wait_until_usable
+
+KNOWN_BEFORE = 6  # Upstreams of the site stand-in.
+FURTHER_GATEWAYS = 3  # Only two of all read the registry.
+NAME = "late1"
+# Longer than a reader's interval, which is a quarter of the drain limit of 1 s.
+SETTLE_S = 1.0
+
+
+def write_heartbeat(deployment, sequence, cold_left_ms=0):
+    row = {"address": "127.0.0.1:9", "born": 77,
+           "info": {"service": "reads", "version": "v1", "zone": "p1", "slots": 3},
+           "status": {"state": "ready", "seq": sequence, "coldLeftMs": cold_left_ms}}
+    deployment.post_control("row", table="servers", key=NAME, value=json.dumps(row))
+
+
+def remove(deployment):
+    deployment.post_control("remove", table="servers", key=NAME)
+
+
+def register_with_heartbeats(deployment, count):
+    for number in range(FURTHER_GATEWAYS):
+        gateway = deployment.start_gateway(GATEWAY_COUNT + number)
+        wait_until(lambda: deployment.ready(gateway), "further gateway is ready")
+    write_heartbeat(deployment, 1)
+    wait_until_usable(deployment, KNOWN_BEFORE + 1)
+    time.sleep(2)  # By now the readers are chosen.
+    for sequence in range(2, count + 1):
+        write_heartbeat(deployment, sequence)
+        time.sleep(0.3)
+    time.sleep(SETTLE_S)
+
+
+def check_stays_unusable(deployment, duration_s):
+    deadline = time.monotonic() + duration_s
+    while time.monotonic() < deadline:
+        usable = [metric(each, "upstreams_usable") for each in deployment.gateways]
+        assert usable == [KNOWN_BEFORE] * len(usable), f"usable upstreams at the gateways: {usable}"
+        time.sleep(0.1)
+
+
+def check_late_heartbeat_does_not_bring_back_an_upstream(deployment):
+    """Guards against requests that are sent to an upstream that has left (DRAIN)."""
+    register_with_heartbeats(deployment, 6)
+    remove(deployment)
+    wait_until_usable(deployment, KNOWN_BEFORE)
+    write_heartbeat(deployment, 5)
+    check_stays_unusable(deployment, 1.5)
+    remove(deployment)
+    check_stays_unusable(deployment, 1.5)
+
+
+def check_gateway_that_starts_beside_a_late_heartbeat_is_corrected(deployment):
+    """Guards against a gateway that never saw the newest heartbeat and takes a late one for news."""
+    register_with_heartbeats(deployment, 6)
+    remove(deployment)
+    wait_until_usable(deployment, KNOWN_BEFORE)
+    write_heartbeat(deployment, 5)
+    started = deployment.start_gateway(GATEWAY_COUNT + FURTHER_GATEWAYS)
+    wait_until(lambda: deployment.ready(started), "gateway beside a late heartbeat is ready")
+    wait_until_usable(deployment, KNOWN_BEFORE)
+    check_stays_unusable(deployment, 1.5)
+
+
+def check_older_copy_does_not_bring_back_an_upstream(deployment):
+    """Guards against upstreams that are used again since a restored store still names them."""
+    register_with_heartbeats(deployment, 3)
+    deployment.post_control("store", mode="keep-copy")
+    write_heartbeat(deployment, 4)
+    time.sleep(SETTLE_S)
+    remove(deployment)
+    wait_until_usable(deployment, KNOWN_BEFORE)
+    deployment.post_control("store", mode="restore-copy")
+    check_stays_unusable(deployment, 2)
+    remove(deployment)
+    check_stays_unusable(deployment, 1.5)
+
+
+def check_upstream_that_writes_on_is_used_again(deployment):
+    register_with_heartbeats(deployment, 3)
+    remove(deployment)
+    wait_until_usable(deployment, KNOWN_BEFORE)
+    write_heartbeat(deployment, 4)
+    wait_until_usable(deployment, KNOWN_BEFORE + 1)
+
+
+CHECKS = [check_late_heartbeat_does_not_bring_back_an_upstream,
+          check_gateway_that_starts_beside_a_late_heartbeat_is_corrected,
+          check_older_copy_does_not_bring_back_an_upstream,
+          check_upstream_that_writes_on_is_used_again]
+
+
+def main():
+    failed = []
+    for check in CHECKS:
+        try:
+            with GatewayDeployment(sys.argv[1]) as deployment:
+                check(deployment)
+            print(f"ok {check.__name__}", flush=True)
+        except AssertionError as error:
+            print(f"FAILED {check.__name__}: {error}", flush=True)
+            failed.append(check.__name__)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/unit/malformed_registration_test.cpp
+++ b/tests/unit/malformed_registration_test.cpp
@@ -34,15 +34,17 @@
     return text.replace(text.find(original), original.size(), replacement);
 }
 
-registration_change change_with_names_of(std::size_t bytes)
+upstream_record record_with_names_of(std::size_t bytes)
 {
-    upstream_registration registration;
+    upstream_record record;
+    upstream_registration& registration = record.registration;
     registration.name = upstream_name(std::string(bytes, 'n'));
     registration.service = service_name(std::string(bytes, 's'));
     registration.place = place_name(std::string(bytes, 'p'));
     registration.at = {.ip = 0x0a000001, .port = 80};
     registration.slots = slot_count(3);
-    return {.name = registration.name, .registration = registration};
+    record.written_at = at_version(1);
+    return record;
 }
 
 } // namespace
@@ -128,17 +130,15 @@
 
 TEST(malformed_registration, registrations_with_the_longest_names_fit_in_an_update)
 {
-    std::vector<registration_change> changes;
+    std::vector<upstream_record> records;
     for (char const digit : {'0', '1', '2', '3'}) {
-        registration_change change = change_with_names_of(200);
-        change.name = upstream_name(std::string(199, 'n') + digit);
-        change.registration->name = change.name;
-        changes.push_back(change);
+        records.push_back(record_with_names_of(200));
+        records.back().registration.name = upstream_name(std::string(199, 'n') + digit);
     }
     std::size_t sent_changes = 0;
     registry_update_assembler assembler;
     for (wire::registry_update_message const& each :
-         make_registry_update_pieces(at_version(1), at_version(2), changes)) {
+         make_registry_update_pieces(at_version(1), at_version(2), records)) {
         std::string const bytes = wire::encode(each);
         CHECK(bytes.size() <= wire::max_datagram_bytes);
         sent_changes += each.changes.get().size();
--- /dev/null
+++ b/tests/unit/registry_agreement_test.cpp
@@ -0,0 +1,213 @@
+#include "libraries/discovery/registry_repair.hpp"
+#include "libraries/discovery/registry_update.hpp"
+
+#include "tests/fakes/harness.hpp"
+#include "tests/fakes/registry_network.hpp"
+#include "tests/fakes/routing_samples.hpp"
+#include "tests/fakes/store_positions.hpp"
+
+using namespace burdockstep;
+using namespace burdockstep::testing;
+
+namespace {
+
+constexpr std::uint64_t seeds = 3'000;
+constexpr unsigned events_per_phase = 60;
+constexpr unsigned phases = 3;
+
+registration_change write_at(store_position at, std::int64_t heartbeat, duration cold_left = {})
+{
+    upstream_registration registration = sample_upstream(1).registration;
+    registration.started_ms = 77;
+    registration.heartbeat = heartbeat;
+    registration.cold_left = cold_left;
+    return {.name = registration.name, .registration = registration, .at = at};
+}
+
+registration_change removal_at(store_position at)
+{
+    return {.name = sample_upstream(1).registration.name, .registration = {}, .at = at};
+}
+
+} // namespace
+
+TEST_GROUP(registry_agreement)
+{
+    time_point now = start_time();
+    upstream_name const name = sample_upstream(1).registration.name;
+    upstream_registry reader{{}, {{place_name("p"), region_name("r")}}};
+    upstream_registry told{{}, {{place_name("p"), region_name("r")}}};
+
+    static bool uses(upstream_registry const& registry)
+    {
+        return registry.count_usable() > 0;
+    }
+
+    /// Lets the reader read one change and tell it, if it is significant.
+    void read(registration_change const& change)
+    {
+        auto const changed = names_of(significant_changes(reader, {change}));
+        reader.apply_changes({change}, now);
+        told.merge_records(reader.records_of(changed, now), now);
+    }
+
+    void read_by_both(registration_change const& change)
+    {
+        reader.apply_snapshot({change}, now, change.at);
+        told.apply_snapshot({change}, now, change.at);
+    }
+
+    void let_mass_loss_grace_pass()
+    {
+        now += ms(1'100);
+        reader.expire(now);
+        told.expire(now);
+    }
+};
+
+// Guards against a late heartbeat that an entry which is only told takes for news: it sent requests
+// to an upstream that had left.
+TEST(registry_agreement, late_heartbeat_is_no_news_to_an_entry_that_was_told_of_the_removal)
+{
+    read_by_both(write_at(at_version(1), 1));
+    for (std::int64_t heartbeat = 2; heartbeat <= 6; ++heartbeat)
+        read(write_at(at_version(static_cast<std::uint64_t>(heartbeat)), heartbeat));
+    read(removal_at(at_version(7)));
+    let_mass_loss_grace_pass();
+    CHECK(!uses(reader) && !uses(told));
+    registration_change const late = write_at(at_version(8), 5);
+    read(late);
+    CHECK(!uses(reader) && !uses(told));
+    // Also if it reads the late write itself.
+    told.apply_snapshot({late}, now, late.at);
+    CHECK(!uses(told));
+    read(write_at(at_version(9), 7));
+    CHECK(uses(reader) && uses(told));
+}
+
+// Guards against a second removal that an entry which took a late heartbeat for news never hears.
+TEST(registry_agreement, second_removal_is_told)
+{
+    read_by_both(write_at(at_version(1), 1));
+    reader.apply_changes({write_at(at_version(2), 6), removal_at(at_version(3))}, now);
+    // The first removal wasn't told, and the other entry reads the late write itself.
+    registration_change const late = write_at(at_version(4), 5);
+    told.apply_changes({late}, now);
+    reader.apply_changes({late}, now);
+    CHECK(uses(told));
+    read(removal_at(at_version(5)));
+    let_mass_loss_grace_pass();
+    CHECK(!uses(reader) && !uses(told));
+}
+
+TEST(registry_agreement, repeated_record_does_not_prolong_a_cold_start)
+{
+    read_by_both(write_at(at_version(1), 1));
+    reader.apply_changes({write_at(at_version(2), 2, ms(3'000))}, now);
+    auto const records = reader.records_of({name}, now);
+    told.merge_records(records, now);
+    told.merge_records(records, now + ms(2'000));
+    CHECK(told.upstreams().at(name).cold_until == now + ms(3'000));
+}
+
+// Guards against a former start that an entry with fewer facts prefers after a clock stepped back.
+TEST(registry_agreement, start_after_a_clock_step_is_told_with_its_precedence)
+{
+    read_by_both(write_at(at_version(1), 40));
+    registration_change restarted = write_at(at_version(2), 1);
+    restarted.registration->started_ms = 5;
+    for (int i = 0; i < 6; ++i) {
+        reader.apply_changes({restarted}, now);
+        now += ms(1'500);
+        ++restarted.registration->heartbeat;
+        restarted.at = at_version(restarted.at.version.get() + 1);
+    }
+    told.merge_records(reader.records_of({name}, now), now);
+    LONGS_EQUAL(5, told.upstreams().at(name).registration.started_ms);
+    told.merge_records(reader.records_of({name}, now), now);
+    LONGS_EQUAL(5, told.upstreams().at(name).registration.started_ms);
+}
+
+// Guards against an entry whose whole read came before the readers' and that isn't told that the
+// upstreams missing in it are back.
+TEST(registry_agreement, upstream_that_only_one_entry_missed_is_used_again_after_a_comparison)
+{
+    read_by_both(write_at(at_version(1), 1));
+    told.apply_snapshot({}, now, at_version(2));
+    let_mass_loss_grace_pass();
+    CHECK(!uses(told));
+    reader.apply_snapshot({write_at(at_version(3), 2)}, now, at_version(3));
+    registry_repair asking{{}};
+    registry_repair asked{{}};
+    random_source random(1);
+    auto const question =
+        asking.compare(combined_digest(reader.registered_digests()), told, 2, random, now);
+    CHECK(question.has_value());
+    for (auto const& each : asked.answer(*question, reader, now).records)
+        told.merge_records(records_in(each), now);
+    CHECK(uses(told));
+    CHECK(!asking.compare(combined_digest(reader.registered_digests()), told, 2, random, now));
+}
+
+TEST(registry_agreement, questions_and_answers_are_limited)
+{
+    read_by_both(write_at(at_version(1), 1));
+    told.apply_changes({removal_at(at_version(2))}, now);
+    let_mass_loss_grace_pass();
+    std::uint64_t const digest = combined_digest(reader.registered_digests());
+    registry_repair asking{{.min_question_interval = ms(400)}};
+    random_source random(1);
+    auto const question = asking.compare(digest, told, 2, random, now);
+    CHECK(question.has_value());
+    CHECK(!asking.compare(digest, told, 2, random, now + ms(399)));
+    CHECK(asking.compare(digest, told, 2, random, now + ms(400)).has_value());
+    registry_repair asked{{.max_answers_per_s = 2}};
+    CHECK(!asked.answer(*question, reader, now).records.empty());
+    CHECK(!asked.answer(*question, reader, now).records.empty());
+    CHECK(asked.answer(*question, reader, now).records.empty());
+    CHECK(!asked.answer(*question, reader, now + ms(1'000)).records.empty());
+    // A counter-question isn't answered by another one.
+    wire::registry_question counter = *question;
+    counter.is_counter_question = true;
+    CHECK(!asked.answer(counter, reader, now + ms(1'000)).counter_question);
+}
+
+TEST(registry_agreement, removed_upstreams_are_remembered_for_a_bounded_time_and_count)
+{
+    upstream_registry registry({.max_removed_histories = 3}, {});
+    for (unsigned i = 1; i <= 8; ++i) {
+        registration_change change = write_at(at_version(i), 2);
+        change.name = change.registration->name = sample_upstream(i).registration.name;
+        registry.apply_changes({change, {.name = change.name, .at = at_version(100 + i)}}, now);
+        now += ms(1'100);
+        registry.expire(now);
+    }
+    now += std::chrono::seconds(31);
+    registry.expire(now);
+    CHECK(registry.upstreams().empty());
+    registry.expire(now);
+    std::set<std::size_t> all_buckets;
+    for (std::size_t i = 0; i < upstream_registry::digest_buckets; ++i)
+        all_buckets.insert(i);
+    LONGS_EQUAL(3, registry.names_in(all_buckets).size());
+    now += std::chrono::minutes(11);
+    registry.expire(now);
+    LONGS_EQUAL(0, registry.names_in(all_buckets).size());
+}
+
+// Guards against entries that use an upstream which has left, or don't use one that runs, after any
+// order of writes, late writes, removals, restored copies, restarts, and lost, repeated or late
+// messages.
+TEST(registry_agreement, entries_agree_after_random_events_and_messages)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        registry_network network(seed);
+        for (unsigned phase = 0; phase < phases; ++phase) {
+            network.play(events_per_phase);
+            network.settle();
+            std::string const disagreement = network.disagreement();
+            CHECK_TEXT(disagreement.empty(),
+                       fmt::format("seed {}, phase {}: {}", seed, phase, disagreement).c_str());
+        }
+    }
+}
--- a/tests/unit/registry_update_test.cpp
+++ b/tests/unit/registry_update_test.cpp
@@ -3,6 +3,7 @@
 #include "libraries/wire/codec.hpp"
 
 #include "tests/fakes/harness.hpp"
+#include "tests/fakes/positioned_registry.hpp"
 #include "tests/fakes/routing_samples.hpp"
 #include "tests/fakes/store_positions.hpp"
 
@@ -25,7 +26,14 @@
 registration_change change_for_upstream(unsigned number)
 {
     upstream_registration const registration = sample_upstream(number).registration;
-    return {.name = registration.name, .registration = registration};
+    return {.name = registration.name, .registration = registration, .at = {}};
+}
+
+upstream_record record_of_upstream(unsigned number)
+{
+    return {.registration = sample_upstream(number).registration,
+            .written_at = at_version(number),
+            .removed_at = {}};
 }
 
 } // namespace
@@ -74,15 +82,21 @@
     CHECK(is_registry_reader(instance_name("e1"), {}));
 }
 
-TEST(registry_update_message, changes_survive_encoding_and_decoding)
+TEST(registry_update_message, records_survive_encoding_and_decoding)
 {
-    registration_change draining = change_for_upstream(1);
-    draining.registration->state = upstream_state::draining;
-    draining.registration->cold_left = ms(700);
-    registration_change const removal{.name = upstream_name("u2"), .registration = {}};
+    upstream_record draining = record_of_upstream(1);
+    draining.registration.state = upstream_state::draining;
+    draining.registration.cold_left = ms(700);
+    draining.registration.heartbeat = 8;
+    draining.registration.started_ms = 77;
+    draining.start_revision = 2;
+    upstream_record removed{.removed_at = at_version(9, 3)};
+    removed.registration.name = upstream_name("u2");
+    removed.registration.heartbeat = 5;
+    removed.written_at = at_version(8, 3);
     auto const bytes =
         wire::encode(make_registry_update_pieces(at_version(5), at_version(9),
-                                                 {draining, removal, change_for_upstream(3)})
+                                                 {draining, removed, record_of_upstream(3)})
                          .front());
     CHECK(bytes.size() <= wire::max_datagram_bytes);
     auto const decoded = wire::decode(bytes);
@@ -91,26 +105,27 @@
     auto const assembled =
         assembler.add_piece(std::get<wire::registry_update_message>(decoded.value()));
     CHECK(assembled.has_value());
-    auto const& changes = assembled->changes;
-    LONGS_EQUAL(3, changes.size());
-    CHECK(changes[0].registration == draining.registration);
-    CHECK(!changes[1].registration.has_value());
-    CHECK(changes[2].registration == change_for_upstream(3).registration);
+    auto const& records = assembled->records;
+    LONGS_EQUAL(3, records.size());
+    CHECK(records[0] == draining);
+    CHECK(records[1] == removed);
+    CHECK(!records[1].is_registered());
+    CHECK(records[2] == record_of_upstream(3));
 }
 
 TEST(registry_update_message, large_update_is_split_into_pieces_that_fit_in_a_datagram)
 {
-    std::vector<registration_change> many_changes;
+    std::vector<upstream_record> many_records;
     for (unsigned i = 1; i <= 30; ++i) {
-        many_changes.push_back(change_for_upstream(i));
-        many_changes.back().registration->service = service_name(std::string(40, 's'));
+        many_records.push_back(record_of_upstream(i));
+        many_records.back().registration.service = service_name(std::string(40, 's'));
     }
-    auto const pieces = make_registry_update_pieces(at_version(1), at_version(2), many_changes);
+    auto const pieces = make_registry_update_pieces(at_version(1), at_version(2), many_records);
     CHECK(pieces.size() > 1);
     // The pieces arrive in reverse order, interleaved with those of another reader, and one of them
     // arrives twice.
     auto const pieces_of_other_reader =
-        make_registry_update_pieces(at_version(0), at_version(2), many_changes);
+        make_registry_update_pieces(at_version(0), at_version(2), many_records);
     registry_update_assembler assembler;
     std::optional<assembled_registry_update> assembled;
     for (std::size_t i = pieces.size(); i-- > 0;) {
@@ -126,17 +141,17 @@
     CHECK(assembled->complete);
     CHECK(assembled->after == at_version(1));
     CHECK(assembled->up_to == at_version(2));
-    LONGS_EQUAL(many_changes.size(), assembled->changes.size());
-    for (std::size_t i = 0; i < many_changes.size(); ++i)
-        CHECK(assembled->changes[i].registration == many_changes[i].registration);
+    LONGS_EQUAL(many_records.size(), assembled->records.size());
+    for (std::size_t i = 0; i < many_records.size(); ++i)
+        CHECK(assembled->records[i] == many_records[i]);
 }
 
-TEST(registry_update_message, update_with_too_many_changes_is_marked_incomplete)
+TEST(registry_update_message, update_with_too_many_records_is_marked_incomplete)
 {
-    std::vector<registration_change> many_changes;
+    std::vector<upstream_record> many_records;
     for (unsigned i = 1; i <= 200; ++i)
-        many_changes.push_back(change_for_upstream(i));
-    auto const pieces = make_registry_update_pieces(at_version(1), at_version(2), many_changes);
+        many_records.push_back(record_of_upstream(i));
+    auto const pieces = make_registry_update_pieces(at_version(1), at_version(2), many_records);
     LONGS_EQUAL(1, pieces.size());
     CHECK(!pieces.front().complete);
     CHECK(wire::encode(pieces.front()).size() <= wire::max_datagram_bytes);
@@ -144,7 +159,7 @@
 
 TEST(registry_update_message, snapshot_is_reduced_to_its_differences)
 {
-    upstream_registry registry({}, {});
+    positioned_registry registry({}, {});
     registry.apply_snapshot(
         {change_for_upstream(1), change_for_upstream(2), change_for_upstream(3)}, start_time());
     registration_change draining = change_for_upstream(2);
@@ -160,7 +175,7 @@
 
 TEST(registry_update_message, heartbeat_alone_is_not_a_significant_change)
 {
-    upstream_registry registry({}, {});
+    positioned_registry registry({}, {});
     time_point const now = start_time();
     registry.apply_snapshot({change_for_upstream(1), change_for_upstream(2)}, now);
     auto heartbeat_change = change_for_upstream(1);
@@ -180,7 +195,7 @@
 {
     // The store returns every change in order. A reader that already has the latest state would
     // otherwise announce only the earlier one, which would restore a removed upstream.
-    upstream_registry registry({}, {});
+    positioned_registry registry({}, {});
     time_point const now = start_time();
     registry.apply_snapshot({change_for_upstream(1), change_for_upstream(2)}, now);
     registration_change const removal{.name = upstream_name("u1"), .registration = {}};
--- a/tests/unit/store_restored_test.cpp
+++ b/tests/unit/store_restored_test.cpp
@@ -5,6 +5,7 @@
 
 #include "tests/fakes/harness.hpp"
 #include "tests/fakes/listed_members.hpp"
+#include "tests/fakes/positioned_registry.hpp"
 #include "tests/fakes/routing_samples.hpp"
 #include "tests/fakes/store_positions.hpp"
 
@@ -54,7 +55,7 @@
     static constexpr std::int64_t grace_ms = 2'200;
 
     time_point now = start_time();
-    upstream_registry registry{{}, {{place_name("p"), region_name("r")}}};
+    positioned_registry registry{{}, {{place_name("p"), region_name("r")}}};
 
     upstream_registration const& known(unsigned number) const
     {
--- a/tests/unit/upstream_leaving_test.cpp
+++ b/tests/unit/upstream_leaving_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/platform_dialect.hpp"
 
 #include "tests/fakes/forwarding_harness.hpp"
+#include "tests/fakes/positioned_registry.hpp"
 
 using namespace burdockstep;
 using namespace burdockstep::testing;
@@ -34,7 +35,7 @@
 
 TEST_GROUP_BASE(upstream_leaving, forwarding_harness)
 {
-    upstream_registry registry{{}, {{place_name("p"), region_name("r")}}};
+    positioned_registry registry{{}, {{place_name("p"), region_name("r")}}};
     platform::platform_dialect dialect;
 
     void start_with_one_upstream()
--- a/tests/unit/upstream_registry_test.cpp
+++ b/tests/unit/upstream_registry_test.cpp
@@ -1,6 +1,7 @@
 #include "libraries/discovery/upstream_registry.hpp"
 
 #include "tests/fakes/harness.hpp"
+#include "tests/fakes/positioned_registry.hpp"
 #include "tests/fakes/routing_samples.hpp"
 
 using namespace burdockstep;
@@ -35,7 +36,7 @@
 TEST_GROUP(upstream_registry)
 {
     time_point now = start_time();
-    upstream_registry registry{{}, {{place_name("p"), region_name("r")}}};
+    positioned_registry registry{{}, {{place_name("p"), region_name("r")}}};
 
     bool upstream_is_usable(unsigned number) const
     {
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -55,6 +55,14 @@
     questions.items.add({.team = 0x0123456789abcdef, .share = 3, .wanted = 500});
     wire::quota_grants grants{.number = 9, .items = {}};
     grants.items.add({.team = 0x0123456789abcdef, .share = 3, .granted = 499, .wait_ms = 20});
+    wire::registry_question question{.digests = {}, .is_counter_question = true};
+    question.digests.add(0x01234567);
+    wire::registry_records_message known;
+    known.records.add({.name = wire::registry_text("u1"),
+                       .state = wire::registration_state::gone,
+                       .start_revision = 2,
+                       .written_at = {.era = store_era(2), .version = store_version(40)},
+                       .removed_at = {.era = store_era(2), .version = store_version(41)}});
     wire::message const messages[] = {
         sample_heartbeat(),
         wire::pool_report{.service = wire::name_text("levels"), .slots = 12, .in_flight = 3},
@@ -67,7 +75,9 @@
                                .is_proven = true,
                                .age_ms = 900},
         questions,
-        grants};
+        grants,
+        question,
+        known};
     for (wire::message const& each : messages)
         CHECK(round_trip(each) == each);
 }
