Tell each report that an upstream is cold

A row with cold time was told to the other entries only if the row before had none. And a new end of the cold time was no change of the registry, so that even the entry that had read it didn't hand it to its engine.

Change: each row with cold time is told and counts as a change. The metric burdockstep_upstreams_cold shows how many upstreams an entry takes for cold.

--- a/libraries/discovery/upstream_registry.cpp
+++ b/libraries/discovery/upstream_registry.cpp
@@ -111,10 +111,9 @@
         return true;
     upstream_registration const& known = found->second.registration;
     upstream_registration const& now = *change.registration;
-    bool const became_cold =
-        now.cold_left > duration::zero() && known.cold_left == duration::zero();
+    bool const is_cold = now.cold_left > duration::zero();
     bool const is_disputed = disputed_starts_.contains(change.name);
-    return became_cold || is_disputed || order_of_starts(known, now) != start_order::same ||
+    return is_cold || is_disputed || order_of_starts(known, now) != start_order::same ||
            now.state != known.state || now.slots != known.slots || now.place != known.place;
 }
 
@@ -249,11 +248,12 @@
     if (reports_draining)
         keep_leaving_mark(registration.name, registration.incarnation(), now);
     known.draining = known.draining || reports_draining;
-    if (registration.cold_left > duration::zero())
+    bool const is_cold = registration.cold_left > duration::zero();
+    if (is_cold)
         known.cold_until = now + registration.cold_left;
     bool const slots_changed = known.registration.slots != registration.slots;
     known.registration = registration;
-    if (was_usable != known.is_usable() || slots_changed)
+    if (was_usable != known.is_usable() || slots_changed || is_cold)
         ++change_count_;
 }
 
@@ -305,6 +305,14 @@
                       [](auto const& item) { return item.second.is_usable(); }));
 }
 
+std::size_t upstream_registry::count_cold(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(upstreams_.begin(), upstreams_.end(), [&](auto const& item) {
+            return item.second.is_usable() && now < item.second.cold_until;
+        }));
+}
+
 std::size_t upstream_registry::count_usable(service_name const& service) const
 {
     return static_cast<std::size_t>(
--- a/libraries/discovery/upstream_registry.hpp
+++ b/libraries/discovery/upstream_registry.hpp
@@ -78,8 +78,8 @@
     /// Applies what another entry knows. The records may be old, repeated or in any order.
     void merge_records(std::vector<upstream_record> const& records, time_point now);
     /// Returns true when other entries must be told of a change: it carries more than a new
-    /// heartbeat of a known upstream or the removal of an unknown one. While two starts of an
-    /// upstream write, all their heartbeats count.
+    /// heartbeat of a known upstream or the removal of an unknown one. While an upstream is cold,
+    /// or two starts of it write, all its heartbeats count.
     bool is_significant_change(registration_change const& change) const;
     /// Returns what is known of these upstreams, ready to be sent to other entries. Upstreams of
     /// which nothing is known are left out.
@@ -114,8 +114,10 @@
     std::map<upstream_name, known_upstream> const& upstreams() const { return upstreams_; }
     /// Number of upstreams that may receive requests.
     std::size_t count_usable() const;
+    /// Number of usable upstreams that are cold.
+    std::size_t count_cold(time_point now) const;
     /// Counts the changes so far: new and restarted upstreams, changes of which ones are usable or
-    /// of their slots, calls of `mark_cold`, and changed evacuations.
+    /// of their slots, reports that one is cold, and changed evacuations.
     std::uint64_t changes() const { return change_count_; }
 
 private:
--- a/services/burdockstep_gateway/discovery/discovery_task.cpp
+++ b/services/burdockstep_gateway/discovery/discovery_task.cpp
@@ -216,6 +216,8 @@
     write_metric("registry_news_total", updates_received_);
     write_metric("upstreams_known", registrations_reader_.registry().upstreams().size());
     write_metric("upstreams_usable", registrations_reader_.registry().count_usable());
+    write_metric("upstreams_cold",
+                 registrations_reader_.registry().count_cold(context_.clock.now()));
     for (std::size_t i = 0; i < store_call_purpose_count; ++i) {
         auto const purpose = static_cast<store_call_purpose>(i);
         store_call_counts const& counts = store_monitor_.counts(purpose);
--- a/tests/process/test_registry_agreement.py
+++ b/tests/process/test_registry_agreement.py
@@ -12,6 +12,7 @@
 NAME = "late1"
 # Longer than a reader's interval, which is a quarter of the drain limit of 1 s.
 SETTLE_S = 1.0
+COLD_LEFT_S = 3
 
 
 def write_heartbeat(deployment, sequence, cold_left_ms=0):
@@ -25,10 +26,14 @@
     deployment.post_control("remove", table="servers", key=NAME)
 
 
-def register_with_heartbeats(deployment, count):
+def start_further_gateways(deployment):
     for number in range(FURTHER_GATEWAYS):
         gateway = deployment.start_gateway(GATEWAY_COUNT + number)
         wait_until(lambda: deployment.ready(gateway), "further gateway is ready")
+
+
+def register_with_heartbeats(deployment, count):
+    start_further_gateways(deployment)
     write_heartbeat(deployment, 1)
     wait_until_usable(deployment, KNOWN_BEFORE + 1)
     time.sleep(2)  # By now the readers are chosen.
@@ -91,10 +96,26 @@
     wait_until_usable(deployment, KNOWN_BEFORE + 1)
 
 
+def check_upstream_that_is_cold_again_is_cold_at_all_gateways(deployment):
+    """Guards against gateways that take an upstream for warm, and overload it (FAILBACK)."""
+    start_further_gateways(deployment)
+    time.sleep(2)  # By now the readers are chosen.
+    for sequence in (1, 2, 3):
+        # Written again just before the time before has ended.
+        warm_at = time.monotonic() + COLD_LEFT_S
+        write_heartbeat(deployment, sequence, cold_left_ms=COLD_LEFT_S * 1000)
+        time.sleep(SETTLE_S)
+        while time.monotonic() < warm_at - 0.3:
+            cold = [metric(each, "upstreams_cold") for each in deployment.gateways]
+            assert cold == [1] * len(cold), f"cold upstreams at the gateways: {cold}"
+            time.sleep(0.1)
+
+
 CHECKS = [check_late_heartbeat_does_not_bring_back_an_upstream,
           check_gateway_that_starts_beside_a_late_heartbeat_is_corrected,
           check_older_copy_does_not_bring_back_an_upstream,
-          check_upstream_that_writes_on_is_used_again]
+          check_upstream_that_writes_on_is_used_again,
+          check_upstream_that_is_cold_again_is_cold_at_all_gateways]
 
 
 def main():
--- a/tests/unit/registry_agreement_test.cpp
+++ b/tests/unit/registry_agreement_test.cpp
@@ -100,6 +100,21 @@
     CHECK(!uses(reader) && !uses(told));
 }
 
+// Guards against an upstream that becomes cold again while it is cold, or when it has just become
+// warm, and that all entries but the reader took for warm.
+TEST(registry_agreement, upstream_that_becomes_cold_again_is_cold_at_all_entries)
+{
+    read_by_both(write_at(at_version(1), 1, ms(3'000)));
+    for (int time = 2; time < 5; ++time) {
+        now += ms(2'900);
+        std::uint64_t const changes_before = told.changes();
+        read(write_at(at_version(static_cast<std::uint64_t>(time)), time, ms(3'000)));
+        CHECK(reader.upstreams().at(name).cold_until == now + ms(3'000));
+        CHECK(told.upstreams().at(name).cold_until == now + ms(3'000));
+        CHECK(told.changes() > changes_before);
+    }
+}
+
 TEST(registry_agreement, repeated_record_does_not_prolong_a_cold_start)
 {
     read_by_both(write_at(at_version(1), 1));
