End a daemon's calls whose trailers or tiny chunks never end

Cause: libcurl keeps the fields of a trailer without a limit, and the parser of the client kept them again as fields of the head. Each chunk is passed on by itself. A body that was too large to be collected was read on until the deadline.

Change: a call is broken when its head and trailer lines pass 64 KiB, when its body is larger than what is collected, or when it comes in more than 4,096 parts of under 16 bytes on average. Lines after the final head aren't kept.

The unit tests of trailers and of the body over its limit failed before.

--- a/libraries/net/http_client.cpp
+++ b/libraries/net/http_client.cpp
@@ -17,6 +17,8 @@
 /// Each call under way has a buffer in each direction.
 constexpr long call_buffer_bytes = 16L * 1024;
 constexpr int first_final_status = 200;
+/// Return value of libcurl's callbacks for data that breaks the call.
+constexpr std::size_t abort_call = 0;
 
 long to_milliseconds(duration span)
 {
@@ -99,9 +101,20 @@
     /// True until a head arrives that delimits the body. Without one, the end of the connection
     /// doesn't show whether the body is complete.
     bool body_is_undelimited = true;
+    bool has_final_head = false; ///< Lines that follow belong to the trailer.
+    std::size_t head_bytes = 0;
+    std::size_t body_bytes = 0;
+    std::size_t body_parts = 0; ///< libcurl delivers each chunk by itself.
+    std::size_t max_body_bytes = 0;
     duration stall_timeout{};
     time_point last_received_at;
     bool body_is_paused = false;
+
+    bool has_tiny_chunks(http_client_limits const& limits) const
+    {
+        return body_parts > limits.max_small_parts &&
+               body_bytes < body_parts * limits.min_mean_part_bytes;
+    }
 };
 
 struct socket_watch
@@ -115,9 +128,9 @@
 
 struct http_client::implementation
 {
-    implementation(event_loop& event_loop, http_client_limits limits)
+    implementation(event_loop& event_loop, http_client_limits const& new_limits)
         : loop(event_loop), multi_handle(curl_multi_init()), curl_timer(event_loop),
-          stall_check_timer(event_loop)
+          stall_check_timer(event_loop), limits(new_limits)
     {
         curl_multi_setopt(multi_handle, CURLMOPT_SOCKETFUNCTION, &implementation::on_socket);
         curl_multi_setopt(multi_handle, CURLMOPT_SOCKETDATA, this);
@@ -293,7 +306,14 @@
     {
         auto* const call = static_cast<active_call*>(user_data);
         call->last_received_at = call->owner->clock.now();
+        call->head_bytes += size * count;
+        // libcurl keeps all lines, those of a trailer without any limit of its own.
+        if (call->head_bytes > call->owner->limits.max_head_bytes)
+            return abort_call;
+        if (call->has_final_head)
+            return size * count;
         bool const complete = call->parser.add(std::string_view(data, size * count));
+        call->has_final_head = complete;
         if (complete && call->listener != nullptr) {
             http_head const& head = call->parser.head();
             call->body_is_undelimited = !head.delimited;
@@ -308,8 +328,14 @@
         call->last_received_at = call->owner->clock.now();
         if (call->listener == nullptr)
             return size * count;
-        if (call->listener->on_body(std::string_view(data, size * count)))
+        if (call->body_bytes + size * count > call->max_body_bytes ||
+            call->has_tiny_chunks(call->owner->limits))
+            return abort_call;
+        if (call->listener->on_body(std::string_view(data, size * count))) {
+            call->body_bytes += size * count;
+            ++call->body_parts;
             return size * count;
+        }
         call->body_is_paused = true;
         return CURL_WRITEFUNC_PAUSE;
     }
@@ -385,6 +411,7 @@
     CURLM* multi_handle;
     timer curl_timer;
     timer stall_check_timer;
+    http_client_limits limits;
     system_clock_source clock;
     std::unordered_map<call_number, std::unique_ptr<active_call>> calls;
     std::vector<call_number> cancelled_calls;
@@ -408,6 +435,7 @@
     call->number = self.next_call_number++;
     call->transfer = curl_easy_init();
     call->listener = &listener;
+    call->max_body_bytes = options.max_body_bytes;
     call->stall_timeout = options.stall_timeout;
     call->last_received_at = self.clock.now();
     self.configure(*call, options);
@@ -459,34 +487,28 @@
 class answer_collector final : public call_listener
 {
 public:
-    answer_collector(std::size_t max_collected_bytes,
-                     std::function<void(http_client::fetch_result)> handler)
-        : max_collected_bytes_(max_collected_bytes), handler_(std::move(handler))
+    explicit answer_collector(std::function<void(http_client::fetch_result)> handler)
+        : handler_(std::move(handler))
     {}
 
     void on_head(http_head const& head) override { answer_.head = head; }
 
     bool on_body(std::string_view bytes) override
     {
-        if (answer_.body.size() + bytes.size() > max_collected_bytes_)
-            body_is_too_large_ = true;
-        else
-            answer_.body.append(bytes);
+        answer_.body.append(bytes);
         return true;
     }
 
     void on_done(call_end end) override
     {
         std::unique_ptr<answer_collector> const self(this);
-        answer_.end = body_is_too_large_ ? call_end::broken : end;
+        answer_.end = end;
         handler_(std::move(answer_));
     }
 
 private:
-    std::size_t max_collected_bytes_;
     std::function<void(http_client::fetch_result)> handler_;
     http_client::fetch_result answer_;
-    bool body_is_too_large_ = false;
 };
 
 } // namespace
@@ -494,7 +516,9 @@
 void http_client::fetch(call_options const& options, std::size_t max_body_bytes,
                         std::function<void(fetch_result)> handler)
 {
-    start(options, *new answer_collector(max_body_bytes, std::move(handler)));
+    call_options limited_options = options;
+    limited_options.max_body_bytes = max_body_bytes;
+    start(limited_options, *new answer_collector(std::move(handler)));
 }
 
 } // namespace burdockstep
--- a/libraries/net/http_client.hpp
+++ b/libraries/net/http_client.hpp
@@ -8,6 +8,7 @@
 #include "libraries/net/http_types.hpp"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -38,6 +39,8 @@
     /// libcurl repeats the request on a new one, which may run it twice; it never repeats a
     /// request on a fresh connection.
     bool fresh_connection = false;
+    /// The call is broken if its answer's body exceeds this size.
+    std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
     /// Local IP address to connect from; empty for any.
     std::string local_ip;
 };
@@ -63,6 +66,12 @@
 {
     /// Calls beyond these connections wait, until their deadline, for one of them.
     std::size_t max_connections = 1024;
+    /// Maximum size of all head and trailer lines of a call, those of interim answers included.
+    std::size_t max_head_bytes = std::size_t{64} * 1024;
+    /// A call is broken if its body comes in more parts than this and they are smaller than the
+    /// size below on average: each chunk takes time, however small it is.
+    std::size_t max_small_parts = 4'096;
+    std::size_t min_mean_part_bytes = 16;
 };
 
 /// Runs HTTP calls on an event loop.
--- /dev/null
+++ b/tests/unit/http_client_endless_test.cpp
@@ -0,0 +1,86 @@
+#include "libraries/net/http_client.hpp"
+
+#include "tests/fakes/endless_server.hpp"
+#include "tests/fakes/harness.hpp"
+
+#include <memory>
+#include <optional>
+
+using namespace burdockstep;
+using namespace burdockstep::testing;
+
+namespace {
+
+constexpr std::size_t max_body_bytes = 64 * 1024;
+/// Far beyond the time that a call with an answer over a limit takes.
+constexpr duration deadline = std::chrono::seconds(20);
+constexpr duration test_time = std::chrono::seconds(10);
+std::string const ok = "HTTP/1.1 200 OK\r\n";
+std::string const chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string repeated(std::string const& part, std::size_t count)
+{
+    std::string text;
+    for (std::size_t i = 0; i < count; ++i)
+        text += part;
+    return text;
+}
+
+/// Returns how a call to a server ends that sends `start` and then `part` without end, or nothing
+/// if it goes on.
+std::optional<call_end> end_of_call(std::string const& start, std::string const& part)
+{
+    event_loop loop;
+    endless_server const server(start, part);
+    http_client client(loop, {});
+    std::optional<call_end> end;
+    client.fetch({.to = server.at(),
+                  .path = "/",
+                  .headers = {},
+                  .body = {},
+                  .deadline = deadline,
+                  .local_ip = {}},
+                 max_body_bytes, [&](http_client::fetch_result const& received) {
+                     end = received.end;
+                     loop.stop();
+                 });
+    timer time_limit(loop);
+    time_limit.start_once(test_time, [&] { loop.stop(); });
+    loop.run();
+    return end;
+}
+
+} // namespace
+
+TEST_GROUP(http_client_endless){};
+
+// Guards against a trailer without end, which libcurl and the client kept whole: 395 MB in 3 s.
+TEST(http_client_endless, trailer_without_end_ends_the_call)
+{
+    CHECK(end_of_call(chunked + "0\r\n", repeated("t: v\r\n", 1'000)) == call_end::broken);
+}
+
+TEST(http_client_endless, head_without_end_ends_the_call)
+{
+    CHECK(end_of_call(ok, repeated("a:\r\n", 1'000)) == call_end::broken);
+    CHECK(end_of_call(ok + "a: ", repeated("v", 4'096)) == call_end::broken);
+    CHECK(end_of_call("", repeated("HTTP/1.1 100 Continue\r\na: b\r\n\r\n", 500)) ==
+          call_end::broken);
+    CHECK(end_of_call("HTTP/1.1 200 ", repeated("r", 4'096)) == call_end::broken);
+    CHECK(end_of_call("", repeated("\x01\xfe", 4'096)) == call_end::broken);
+}
+
+// Guards against a call that reads on, to its deadline, what it can't use.
+TEST(http_client_endless, body_over_the_limit_ends_the_call)
+{
+    CHECK(end_of_call(ok + "\r\n", repeated("b", 4'096)) == call_end::broken);
+    CHECK(end_of_call(chunked, repeated("1\r\nc\r\n", 1'000)) == call_end::broken);
+}
+
+// Guards against chunks of one byte, each of which is passed on by itself.
+TEST(http_client_endless, body_in_tiny_chunks_ends_the_call)
+{
+    std::string const end = "0\r\n\r\n";
+    CHECK(end_of_call(chunked + repeated("1\r\nc\r\n", 20'000) + end, "x") == call_end::broken);
+    CHECK(end_of_call(chunked + repeated("1\r\nc\r\n", 2'000) + end, "x") == call_end::complete);
+}
