--- a/libraries/discovery/registry_update.cpp
+++ b/libraries/discovery/registry_update.cpp
@@ -88,6 +88,7 @@
 records_from_wire(std::vector<wire::registration_record> const& encoded_records)
 {
     std::vector<upstream_record> records;
+    records.reserve(encoded_records.size());
     for (wire::registration_record const& each : encoded_records)
         records.push_back(from_wire(each));
     return records;
@@ -193,6 +194,7 @@
 std::vector<upstream_name> names_of(std::vector<registration_change> const& changes)
 {
     std::vector<upstream_name> names;
+    names.reserve(changes.size());
     for (registration_change const& each : changes)
         names.push_back(each.name);
     return names;
--- a/tests/unit/http_client_endless_test.cpp
+++ b/tests/unit/http_client_endless_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t max_body_bytes = 64 * 1024;
+constexpr std::size_t max_body_bytes = std::size_t{64} * 1024;
 /// Far beyond the time that a call with an answer over a limit takes.
 constexpr duration deadline = std::chrono::seconds(20);
 constexpr duration test_time = std::chrono::seconds(10);
