Judge no time of a sanitized process in the tests of endless answers

Their check that each ordinary request is answered while a crowd asks takes the call's time limit. The sanitizer build of burdockstepd that relays a body without end to six reading callers, some 3 GB in 4 s, answered 9 of 10 and 0 of 1: the limit measured the sanitizer. The release build answers all, and is still judged. In the sanitizer build the process must live, keep its descriptors under the bound, and answer afterwards, as in the other tests of memory.

--- a/tests/process/test_memory_daemon_endless.py
+++ b/tests/process/test_memory_daemon_endless.py
@@ -7,7 +7,7 @@
 
 from deployment import LOAD_FRACTION, PLACES, binaries_folder_argument
 from endless_answers import ENDLESS_ANSWERS, EndlessServer
-from memory_site import run_on
+from memory_site import MEMORY_IS_COMPARABLE, run_on
 from test_memory_daemon import DaemonSite, head
 from test_memory_endless import CROWD_TIME_S, ORDINARY_INTERVAL_S, ReturningCaller
 
@@ -54,7 +54,9 @@
           f"at most {most_mb:.0f} MB; sent {sent_bytes / 2 ** 20:.0f} MB", flush=True)
     site.check_bounds()
     site.check_total(most_mb)
-    assert set(statuses) == {200}, f"statuses of ordinary requests: {set(statuses)}"
+    # A sanitizer makes the process so slow that the time limit of a call means nothing.
+    if MEMORY_IS_COMPARABLE:
+        assert set(statuses) == {200}, f"statuses of ordinary requests: {set(statuses)}"
     assert sent_bytes > 0, "no call reached the upstream"
     for each in tasks:
         each.cancel()
