Limit what a store's answers and tables cost a gateway

What callers saw: nothing at first; the gateway, of 64 MB, held 264 MB while a store answered page after page without end, 104 MB with large chunks, and 64 MB with a long body: over its memory, and to be killed for it on any machine that enforces that.

Cause: the store's client had the default limits of the client for upstreams, which fit the largest body that a caller may get, and a table was read as long as pages had new rows. Ruled out: the budget, which covers callers and upstreams only and was never full.

Which limit an answer has exceeded is part of a call's result now, of "send failed" in the log (limit_exceeded), and of the metric burdockstep_upstream_answers_over_limit_total.

Pages of the largest size that the store gives are still read (unit test).

--- a/libraries/http1/client.cpp
+++ b/libraries/http1/client.cpp
@@ -42,6 +42,7 @@
             return;
         owned_connection owned = std::move(found->second.connection);
         buffered_bytes_ -= result.body.size();
+        ++counters_.answers_over_limit.at(static_cast<std::size_t>(result.exceeded));
         result_handler const handler = std::move(found->second.handler);
         forget_sent_bytes(owned->to(), found->second.sent_bytes);
         calls_.erase(found);
--- a/libraries/http1/client.hpp
+++ b/libraries/http1/client.hpp
@@ -4,10 +4,12 @@
 #include "libraries/core/address.hpp"
 #include "libraries/core/clock.hpp"
 #include "libraries/core/strong_type.hpp"
+#include "libraries/http1/answer_limit.hpp"
 #include "libraries/http1/message_body.hpp"
 #include "libraries/http1/message_reader.hpp"
 #include "libraries/net/event_loop.hpp"
 
+#include <array>
 #include <functional>
 #include <limits>
 #include <memory>
@@ -33,6 +35,7 @@
 struct call_result
 {
     call_end end = call_end::broken;
+    answer_limit exceeded = answer_limit::none; ///< Why the call is broken, if a limit is why.
     address to;
     message_head head; ///< Set if the call is complete.
     std::string body;
@@ -113,6 +116,8 @@
     std::uint64_t answers_dropped_for_memory = 0;
     /// Calls that weren't started because of `max_sent_bytes_per_address`.
     std::uint64_t calls_refused_for_bodies = 0;
+    /// Calls that were broken because their answers exceeded a limit, by the limit.
+    std::array<std::uint64_t, answer_limit_count> answers_over_limit{};
     std::uint64_t connections_reused = 0;
     /// New connections because none to the address was idle.
     std::uint64_t opened_none_idle = 0;
--- a/libraries/http1/client_connection.cpp
+++ b/libraries/http1/client_connection.cpp
@@ -95,14 +95,17 @@
     }
     call_bytes_ += bytes.size();
     if (call_bytes_ > limits_.max_call_bytes) {
-        end_call(call_end::broken);
+        break_over_limit(answer_limit::call);
         return;
     }
     restart_answer_timeout();
     bool const readable = reader_.read(bytes);
     bool const has_too_much_framing = call_bytes_ - call_body_bytes_ > limits_.max_framing_bytes;
-    if (options_ && (!readable || has_too_much_framing))
-        end_call(call_end::broken);
+    if (!readable && options_)
+        break_over_limit(reader_.fault() == read_fault::head_too_large ? answer_limit::head
+                                                                       : answer_limit::none);
+    else if (has_too_much_framing && options_)
+        break_over_limit(answer_limit::framing);
     else if (options_ && !answer_charge_.try_resize(answer_bytes()))
         drop_answer();
     else if (!options_ && (!readable || got_unrequested_answer_ || reader_.is_inside_message()))
@@ -180,7 +183,7 @@
     if (skipping_answer_ || !options_)
         return;
     if (result_.body.size() + bytes.size() > limits_.max_body_bytes) {
-        end_call(call_end::broken);
+        break_over_limit(answer_limit::body);
         return;
     }
     append_to_body(result_.body, bytes, result_.head.content_length, limits_.max_body_bytes);
@@ -213,6 +216,12 @@
         end_call(call_end::broken);
 }
 
+void client_connection::break_over_limit(answer_limit limit)
+{
+    result_.exceeded = limit;
+    end_call(call_end::broken);
+}
+
 void client_connection::break_call()
 {
     if (options_)
--- a/libraries/http1/client_connection.hpp
+++ b/libraries/http1/client_connection.hpp
@@ -67,6 +67,8 @@
     /// Memory that the incomplete answer takes.
     std::size_t answer_bytes() const;
     void drop_answer();
+    /// Breaks the call under way because its answer exceeds a limit, or is malformed (`none`).
+    void break_over_limit(answer_limit limit);
     void end_call(call_end end);
     void restart_answer_timeout();
     bool is_own_answer(message_head const& head) const;
--- a/services/burdockstep_gateway/main.cpp
+++ b/services/burdockstep_gateway/main.cpp
@@ -22,6 +22,8 @@
 /// Environment variable with the path of the settings file, used if `--settings` is not given.
 constexpr char const* settings_environment_variable = "BURDOCKSTEP_BOOT";
 constexpr int exit_usage = 2;
+/// A table of the store may take this part of the process's memory.
+constexpr std::size_t table_memory_divisor = 8;
 
 std::optional<gateway_settings> load_settings(std::string const& path)
 {
@@ -46,7 +48,9 @@
     event_loop loop;
     system_clock_source const clock;
     random_source random(system_seed());
-    platform::platform_store store(loop, clock, {.at = settings.store});
+    platform::platform_store store(
+        loop, clock,
+        {.at = settings.store, .max_table_bytes = settings.memory_bytes / table_memory_divisor});
     platform::platform_dialect const dialect;
     gateway::supervisor root_supervisor(loop, clock, random, settings, path);
     bool const started = handle_failure(
--- a/services/burdockstep_gateway/requests/requests_task.cpp
+++ b/services/burdockstep_gateway/requests/requests_task.cpp
@@ -180,6 +180,7 @@
     }
     if (result.connect_time > duration::zero())
         engine_.record_round_trip(upstream, result.connect_time);
+    http1::answer_limit const exceeded = result.exceeded;
     send_end_report report;
     switch (result.end) {
     case http1::call_end::complete:
@@ -214,7 +215,8 @@
         log_.info("send failed",
                   {field("request", caller_id), field("upstream", upstream.get()),
                    field("result", name_of(report.result)), field("status", report.status),
-                   field("kept", report.on_kept_connection), field("reset", report.was_reset)});
+                   field("kept", report.on_kept_connection), field("reset", report.was_reset),
+                   field("limit_exceeded", http1::name_of(exceeded))});
     }
     current_answer_ = std::move(result);
     execute(engine_.handle_send_end(id, report, context_.clock.now()));
--- a/services/burdockstep_gateway/requests/requests_task_reports.cpp
+++ b/services/burdockstep_gateway/requests/requests_task_reports.cpp
@@ -125,6 +125,11 @@
     write_metric("upstream_answers_skipped_total", connections.answers_skipped);
     write_metric("upstream_answers_dropped_for_memory_total",
                  connections.answers_dropped_for_memory);
+    for (std::size_t i = 1; i < connections.answers_over_limit.size(); ++i) {
+        char const* const limit = http1::name_of(static_cast<http1::answer_limit>(i));
+        write_metric(fmt::format("upstream_answers_over_limit_total{{limit=\"{}\"}}", limit),
+                     connections.answers_over_limit.at(i));
+    }
     write_metric("upstream_bodies_held_back_total", connections.calls_refused_for_bodies);
     write_metric("caller_connections", caller_server_.open_connections());
     http1::server_counters const& callers = caller_server_.counters();
--- a/tests/unit/platform_store_test.cpp
+++ b/tests/unit/platform_store_test.cpp
@@ -23,13 +23,15 @@
     system_clock_source clock;
     row_store_standin standin{loop, clock};
     std::unique_ptr<platform::platform_store> store;
+    address store_address;
 
     void setup() override
     {
         auto const listening = standin.try_listen({.ip = 0x7f000001, .port = 0});
         CHECK(static_cast<bool>(listening));
+        store_address = listening.value();
         store = std::make_unique<platform::platform_store>(
-            loop, clock, platform::platform_store_options{.at = listening.value()});
+            loop, clock, platform::platform_store_options{.at = store_address});
     }
 
     void teardown() override
@@ -155,3 +157,29 @@
         CHECK(answer.position == store_position{});
     }
 }
+
+// Guards against pages without end, which a gateway kept until it had no memory left.
+TEST(platform_store, table_that_is_larger_than_the_limit_is_not_read)
+{
+    std::string const value(100'000, 'v');
+    for (unsigned i = 0; i < 30; ++i)
+        standin.write("op", "evacuate/p" + std::to_string(i), value);
+    CHECK(read_directives().status == discovery_store_status::done);
+    store = std::make_unique<platform::platform_store>(
+        loop, clock,
+        platform::platform_store_options{.at = store_address, .max_table_bytes = 1'000'000});
+    CHECK(read_directives().status == discovery_store_status::no_answer);
+}
+
+TEST(platform_store, largest_page_that_the_store_gives_is_read)
+{
+    // A megabyte of values in base64 beside the longest keys.
+    constexpr unsigned rows = 500;
+    std::string const value(2'000, 'v');
+    std::string const key_end(180, 'k');
+    for (unsigned i = 0; i < rows; ++i)
+        standin.write("op", fmt::format("evacuate/{:03}{}", i, key_end), value);
+    directives_answer const received = read_directives();
+    CHECK(received.status == discovery_store_status::done);
+    LONGS_EQUAL(rows, received.content.evacuated.size());
+}
