--- a/libraries/discovery/upstream_registry.cpp
+++ b/libraries/discovery/upstream_registry.cpp
@@ -1,7 +1,5 @@
 #include "libraries/discovery/upstream_registry.hpp"
 
-#include "libraries/core/digest.hpp"
-
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -31,11 +29,6 @@
     return has_moved || counts_anew ? start_order::newer : start_order::same;
 }
 
-std::size_t digest_bucket_of(upstream_name const& name)
-{
-    return hash_of(name.get()) % upstream_registry::digest_buckets;
-}
-
 } // namespace
 
 upstream_registry::upstream_registry(registry_options options,
@@ -83,21 +76,6 @@
     resolve_missing(now);
 }
 
-void upstream_registry::merge_records(std::vector<upstream_record> const& records, time_point now)
-{
-    for (upstream_record const& each : records) {
-        upstream_name const& name = each.registration.name;
-        upstream_history& history = history_of(name, now);
-        if (each.removed_at)
-            history.merge_removal(*each.removed_at);
-        bool const is_news = history.merge_write(each.write());
-        if (is_news && history.is_registered())
-            adopt(each.registration, each.start_revision, now);
-        settle(name, now);
-    }
-    resolve_missing(now);
-}
-
 bool upstream_registry::is_significant_change(registration_change const& change) const
 {
     auto const remembered = histories_.find(change.name);
@@ -117,58 +95,6 @@
            now.state != known.state || now.slots != known.slots || now.place != known.place;
 }
 
-std::vector<upstream_record> upstream_registry::records_of(std::vector<upstream_name> const& names,
-                                                           time_point now) const
-{
-    std::vector<upstream_record> records;
-    for (upstream_name const& name : names) {
-        auto const remembered = histories_.find(name);
-        if (remembered == histories_.end() || !remembered->second.history.has_write())
-            continue;
-        upstream_history const& history = remembered->second.history;
-        upstream_record record;
-        if (history.is_registered()) {
-            known_upstream const& known = upstreams_.at(name);
-            record.registration = known.registration;
-            record.registration.cold_left = std::max(known.cold_until - now, duration::zero());
-        }
-        registration_write const& write = history.newest_write();
-        record.registration.name = name;
-        record.registration.started_ms = write.started_ms;
-        record.registration.heartbeat = write.heartbeat;
-        record.start_revision = write.start_revision;
-        record.written_at = write.position;
-        record.removed_at = history.removed_at();
-        records.push_back(std::move(record));
-    }
-    return records;
-}
-
-upstream_registry::bucket_digests upstream_registry::registered_digests() const
-{
-    bucket_digests digests{};
-    for (auto const& [name, known] : upstreams_) {
-        upstream_history const& history = histories_.at(name).history;
-        if (!history.is_registered() || known.registration.state == upstream_state::draining)
-            continue;
-        registration_write const& write = history.newest_write();
-        std::uint64_t const start_hash = hash_of(
-            name.get(), static_cast<std::uint64_t>(write.started_ms) + write.start_revision);
-        digests.at(digest_bucket_of(name)) ^= static_cast<std::uint32_t>(start_hash);
-    }
-    return digests;
-}
-
-std::vector<upstream_name> upstream_registry::names_in(std::set<std::size_t> const& buckets) const
-{
-    std::vector<upstream_name> names;
-    for (auto const& [name, remembered] : histories_) {
-        if (buckets.contains(digest_bucket_of(name)))
-            names.push_back(name);
-    }
-    return names;
-}
-
 upstream_history& upstream_registry::history_of(upstream_name const& name, time_point now)
 {
     remembered_history& remembered = histories_[name];
