Let a new operators' connection take the place of an unfinished one

What operators saw: while 64 connections with unfinished heads or bodies stand at burdockstepd's operators' listener and each comes back when it is closed, no request to it was answered (0 of 30).

Cause: when all connections are taken, only one whose peer makes no progress makes room for another, and a peer counts as slow after a second. Callers that come back, or send a byte now and then, aren't slow. Ruled out: the budget's bytes (14 MB of 64 in use) and descriptors.

Change: a budget may say that, if no peer is slow, a new connection takes the place of the one opened first of those whose peer should act. Requests of operators are short: whoever connects and sends one at once is served before 64 others have connected after him. The operators' listener of burdockstepd and the readiness and metrics listeners of the gateway say so; callers' listeners don't, as callers may need their 30 seconds.

--- a/libraries/http1/memory_budget.cpp
+++ b/libraries/http1/memory_budget.cpp
@@ -23,7 +23,8 @@
 
 std::shared_ptr<memory_account> memory_budget::open_account(memory_holder& holder)
 {
-    auto account = std::make_shared<memory_account>(shared_from_this(), holder);
+    auto account =
+        std::make_shared<memory_account>(shared_from_this(), holder, ++last_opened_number_);
     account->position_ = accounts_.size();
     accounts_.push_back(account.get());
     return account;
@@ -104,12 +105,14 @@
 {
     if (connections() < max_connections)
         return true;
-    memory_account* const idle_account = account_without_progress_for_longest();
-    if (idle_account == nullptr) {
+    memory_account* replaced_account = account_without_progress_for_longest();
+    if (replaced_account == nullptr && options_.replaces_oldest_connection)
+        replaced_account = oldest_account_awaiting_peer();
+    if (replaced_account == nullptr) {
         ++counters_.refused_connections;
         return false;
     }
-    give_up(*idle_account);
+    give_up(*replaced_account);
     return true;
 }
 
@@ -136,6 +139,17 @@
     return found;
 }
 
+memory_account* memory_budget::oldest_account_awaiting_peer() const
+{
+    memory_account* found = nullptr;
+    for (memory_account* const each : accounts_) {
+        bool const is_older = found == nullptr || each->opened_number_ < found->opened_number_;
+        if (is_older && !each->given_up_ && each->holder_->awaits_peer())
+            found = each;
+    }
+    return found;
+}
+
 void memory_budget::give_up(memory_account& account)
 {
     ++counters_.given_up;
--- a/libraries/http1/memory_budget.hpp
+++ b/libraries/http1/memory_budget.hpp
@@ -33,6 +33,10 @@
     /// Connections that peers open are accepted up to this number, so that some can still be opened
     /// to upstreams.
     std::size_t max_connections_to_accept = std::numeric_limits<std::size_t>::max();
+    /// If no peer is slow, a new connection takes the place of the one that was opened first of
+    /// those whose peer should act. For peers whose requests are short: nobody can keep them out by
+    /// connecting again and again.
+    bool replaces_oldest_connection = false;
 };
 
 /// Totals since the start, for metrics.
@@ -88,6 +92,7 @@
     bool make_connection_room(std::size_t max_connections);
     memory_account* slow_account_with_most_bytes(memory_account const* except) const;
     memory_account* account_without_progress_for_longest() const;
+    memory_account* oldest_account_awaiting_peer() const;
     void give_up(memory_account& account);
 
     memory_budget_options options_;
@@ -95,6 +100,7 @@
     std::size_t used_bytes_ = 0;
     std::size_t releasing_bytes_ = 0; ///< Part of `used_bytes_` that given up connections hold.
     std::size_t given_up_connections_ = 0;
+    std::uint64_t last_opened_number_ = 0;
     memory_budget_counters counters_;
 };
 
@@ -102,8 +108,10 @@
 class memory_account
 {
 public:
-    memory_account(std::shared_ptr<memory_budget> budget, memory_holder& holder)
-        : budget_(std::move(budget)), holder_(&holder)
+    /// Accounts that are opened later have higher numbers.
+    memory_account(std::shared_ptr<memory_budget> budget, memory_holder& holder,
+                   std::uint64_t opened_number)
+        : budget_(std::move(budget)), holder_(&holder), opened_number_(opened_number)
     {}
     ~memory_account();
     memory_account(memory_account const&) = delete;
@@ -122,7 +130,8 @@
     void sample();
 
     std::shared_ptr<memory_budget> budget_;
-    memory_holder* holder_;    ///< Null once the connection is closed.
+    memory_holder* holder_; ///< Null once the connection is closed.
+    std::uint64_t opened_number_;
     std::size_t position_ = 0; ///< In the budget's list of accounts.
     std::size_t held_bytes_ = 0;
     std::uint64_t moved_bytes_at_mark_ = 0;
--- a/libraries/net/http_server.cpp
+++ b/libraries/net/http_server.cpp
@@ -92,10 +92,11 @@
 } // namespace
 
 http_server::http_server(event_loop& loop, http_server_limits limits)
-    : budget_(std::make_shared<http1::memory_budget>(
-          http1::memory_budget_options{.max_bytes = limits.max_held_bytes,
-                                       .max_connections = limits.max_connections,
-                                       .max_connections_to_accept = limits.max_connections})),
+    : budget_(std::make_shared<http1::memory_budget>(http1::memory_budget_options{
+          .max_bytes = limits.max_held_bytes,
+          .max_connections = limits.max_connections,
+          .max_connections_to_accept = limits.max_connections,
+          .replaces_oldest_connection = limits.replaces_oldest_connection})),
       sample_timer_(loop), server_(loop, clock_, make_server_limits(limits), budget_)
 {
     sample_timer_.start_periodic(
--- a/libraries/net/http_server.hpp
+++ b/libraries/net/http_server.hpp
@@ -55,6 +55,9 @@
     std::size_t max_body_bytes = std::size_t{256} * 1024;
     duration request_read_timeout = std::chrono::seconds(10);
     std::size_t max_connections = 4096;
+    /// A new connection beyond the maximum takes the place of the oldest one without a complete
+    /// request.
+    bool replaces_oldest_connection = false;
     /// Bytes that are held for all callers together: requests, and answers that they haven't read.
     /// Slow callers are given up first; then requests are refused with 503 and Retry-After.
     std::size_t max_held_bytes = std::numeric_limits<std::size_t>::max();
--- a/services/burdockstep_gateway/memory/memory_task.cpp
+++ b/services/burdockstep_gateway/memory/memory_task.cpp
@@ -48,7 +48,8 @@
             .operators = std::make_shared<http1::memory_budget>(http1::memory_budget_options{
                 .max_bytes = settings.memory_bytes / operators_memory_divisor,
                 .max_connections = operators_parts * part,
-                .max_connections_to_accept = operators_parts * part})};
+                .max_connections_to_accept = operators_parts * part,
+                .replaces_oldest_connection = true})};
 }
 
 result<void> memory_task::try_start()
--- a/services/burdockstepd/memory_limits.cpp
+++ b/services/burdockstepd/memory_limits.cpp
@@ -39,6 +39,7 @@
     return {.max_body_bytes = max_apply_body_bytes,
             .max_connections = std::min(max_operator_connections,
                                         granted_descriptors() / operators_descriptors_divisor),
+            .replaces_oldest_connection = true,
             .max_held_bytes = settings.memory_bytes / operators_memory_divisor};
 }
 
--- /dev/null
+++ b/tests/process/test_memory_operators.py
@@ -0,0 +1,92 @@
+"""Connections that never complete a request stand at a daemon's operators' listener, or at a gateway's
+listener for readiness checks. Operators and the platform are still answered."""
+import sys
+
+from deployment import binaries_folder_argument, http
+from memory_site import Caller, MemorySite, run_on
+from test_memory_daemon import CALL_LIMIT_S, MAX_DOCUMENT_BYTES, DaemonSite, head
+from test_memory_endless import ReturningCaller, check_ordinary_calls_beside
+
+CROWD = 64
+DRIP = b"a"
+STEADY_PART = b"b" * 1000
+UNFINISHED_HEAD = b"GET /v1/status HTTP/1.1\r\nHost: h\r\nX-Field: "
+UNFINISHED_BODY = head("POST", "/v1/apply", f"Content-Length: {MAX_DOCUMENT_BYTES}")
+
+
+class OperatorsSite(DaemonSite):
+    """One daemon; the ordinary request is an operator's."""
+
+    crowds_listener = "operators"
+
+    def call(self):
+        try:
+            return http("GET", f"http://127.0.0.1:{self.ports['operators']}/v1/status",
+                        timeout_s=CALL_LIMIT_S)[0]
+        except OSError:
+            return 0
+
+
+class ReadinessSite(MemorySite):
+    """One gateway; the ordinary request is the platform's readiness check."""
+
+    crowds_listener = "readiness"
+
+    def call(self):
+        try:
+            return http("GET", f"http://127.0.0.1:{self.ports['readiness']}/v1/ready",
+                        timeout_s=CALL_LIMIT_S)[0]
+        except OSError:
+            return 0
+
+
+def crowd(parts, slow_part=b""):
+    return [Caller(parts, slow_part=slow_part, listener="operators") for _ in range(CROWD)]
+
+
+async def check_unfinished_heads(site):
+    await site.check_crowd(crowd([UNFINISHED_HEAD]))
+
+
+async def check_unfinished_bodies(site):
+    await site.check_crowd(crowd([UNFINISHED_BODY, b"b" * 1000]))
+
+
+async def check_dripping_heads(site):
+    await site.check_crowd(crowd([UNFINISHED_HEAD], slow_part=DRIP))
+
+
+async def check_dripping_bodies(site):
+    await site.check_crowd(crowd([UNFINISHED_BODY], slow_part=DRIP))
+
+
+async def check_steady_bodies(site):
+    """Bodies that arrive too slowly to end within minutes, but not so slowly as to be given up."""
+    await site.check_crowd(crowd([UNFINISHED_BODY], slow_part=STEADY_PART))
+
+
+async def check_silent_connections(site):
+    await site.check_crowd(crowd([]))
+
+
+async def check_while_crowd_comes_back(site, parts):
+    """Each of the crowd connects again as soon as it is given up."""
+    crowd_that_returns = [ReturningCaller(parts, listener=site.crowds_listener)
+                          for _ in range(CROWD)]
+    await check_ordinary_calls_beside(site, crowd_that_returns)
+
+
+async def check_heads_that_come_back(site):
+    await check_while_crowd_comes_back(site, [UNFINISHED_HEAD])
+
+
+async def check_bodies_that_come_back(site):
+    await check_while_crowd_comes_back(site, [UNFINISHED_BODY, b"b" * 1000])
+
+
+if __name__ == "__main__":
+    for check in (check_unfinished_heads, check_unfinished_bodies, check_dripping_heads,
+                  check_dripping_bodies, check_steady_bodies, check_silent_connections,
+                  check_heads_that_come_back, check_bodies_that_come_back):
+        run_on(OperatorsSite(binaries_folder_argument(sys.argv)), check)
+    run_on(ReadinessSite(sys.argv[1]), check_heads_that_come_back)
