Bound what a daemon holds of its platform's and peers' answers together

What operators saw: while burdockstepd's platform answered with a body without end, 32 operators who asked for audits made a process of 64 MB hold 91 (large chunks) to 98 MB (a body without length). Peers that stop just short of a frame's end: 77 MB. Ordinary requests were answered.

Cause: each answer had a limit (8 MiB of the platform, 6 MiB of a peer), all together had none. A daemon that has no list of instances asks a seed each 500 ms and waits 5 s for an answer, so ten are under way. Ruled out: heads, framing and trailers, which the limits of each call end (15 to 19 MB in all other kinds); the listener's budget, which had room.

Change: bodies that `fetch` collects share a limit, an eighth of memory_mb for operators and another for the daemon itself; so do the frames of peers' answers, an eighth. A call whose part finds no room is broken, but the only one may always take what one answer may. `framed_client` replaces a free function, as the count needs an owner.

The proxy of the store moved to endless_answers.py, where both processes' tests use it.

--- a/libraries/http1/answer_limit.cpp
+++ b/libraries/http1/answer_limit.cpp
@@ -15,6 +15,8 @@
         return "body";
     case answer_limit::call:
         return "call";
+    case answer_limit::together:
+        return "together";
     }
     return "unknown";
 }
--- a/libraries/net/active_call.hpp
+++ b/libraries/net/active_call.hpp
@@ -32,6 +32,7 @@
     std::size_t body_parts = 0;          ///< libcurl delivers each chunk by itself.
     std::size_t received_body_bytes = 0; ///< With the framing of chunks.
     std::size_t max_body_bytes = 0;
+    bool collects_body = false;
     http1::answer_limit exceeded = http1::answer_limit::none;
     duration stall_timeout{};
     time_point last_received_at;
--- a/libraries/net/framed_stream.cpp
+++ b/libraries/net/framed_stream.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace burdockstep {
@@ -34,17 +35,30 @@
     return length;
 }
 
+/// Limits on the frames that connections read.
+struct frame_limits
+{
+    std::size_t max_frame_bytes = 0;
+    std::size_t max_held_bytes = std::numeric_limits<std::size_t>::max();
+};
+
 /// A connection that reads one frame. It holds a reference to itself until its handle is closed.
 class frame_connection : public std::enable_shared_from_this<frame_connection>
 {
 public:
-    frame_connection(event_loop& loop, std::size_t max_frame_bytes)
-        : deadline_timer_(std::make_unique<timer>(loop)), max_frame_bytes_(max_frame_bytes)
+    /// `held_bytes` counts what this connection and others hold of frames.
+    frame_connection(event_loop& loop, frame_limits limits, std::shared_ptr<std::size_t> held_bytes)
+        : deadline_timer_(std::make_unique<timer>(loop)), limits_(limits),
+          held_bytes_(std::move(held_bytes))
     {
         uv_tcp_init(loop.raw(), &tcp_);
         tcp_.data = this;
     }
 
+    ~frame_connection() { *held_bytes_ -= received_bytes_.size(); }
+    frame_connection(frame_connection const&) = delete;
+    frame_connection& operator=(frame_connection const&) = delete;
+
     uv_tcp_t* tcp() { return &tcp_; }
 
     /// Closes the connection after `time_limit`. Keeps the object alive until the handle is closed.
@@ -125,10 +139,16 @@
     void process_received(std::string_view bytes)
     {
         received_bytes_ += bytes;
+        *held_bytes_ += bytes.size();
+        bool const is_only_one = *held_bytes_ == received_bytes_.size();
+        if (*held_bytes_ > limits_.max_held_bytes && !is_only_one) {
+            close();
+            return;
+        }
         if (received_bytes_.size() < length_prefix_bytes)
             return;
         std::size_t const length = decode_length(received_bytes_);
-        if (length > max_frame_bytes_) {
+        if (length > limits_.max_frame_bytes) {
             close();
             return;
         }
@@ -143,7 +163,8 @@
     uv_write_t write_request_{};
     uv_connect_t connect_request_{};
     std::unique_ptr<timer> deadline_timer_;
-    std::size_t max_frame_bytes_;
+    frame_limits limits_;
+    std::shared_ptr<std::size_t> held_bytes_;
     std::array<char, read_buffer_bytes> read_buffer_{};
     std::string received_bytes_;
     std::string frame_to_send_;
@@ -164,7 +185,8 @@
 
     void accept()
     {
-        auto const connection = std::make_shared<frame_connection>(loop, limits.max_question_bytes);
+        auto const connection = std::make_shared<frame_connection>(
+            loop, frame_limits{.max_frame_bytes = limits.max_question_bytes}, held_question_bytes);
         connection->start_deadline(limits.exchange_timeout);
         bool const accepted = uv_accept(reinterpret_cast<uv_stream_t*>(&listener),
                                         reinterpret_cast<uv_stream_t*>(connection->tcp())) == 0;
@@ -195,6 +217,7 @@
     event_loop& loop;
     framed_stream_limits limits;
     answer_provider answer;
+    std::shared_ptr<std::size_t> held_question_bytes = std::make_shared<std::size_t>(0);
     uv_tcp_t listener{};
     /// Keeps the state alive until the listener handle has closed.
     std::shared_ptr<state> self_reference;
@@ -239,7 +262,7 @@
 
 namespace {
 
-/// One question sent by `ask_framed_question`, shared by the callbacks of its connection.
+/// One question of a `framed_client`, shared by the callbacks of its connection.
 struct pending_question
 {
     std::function<void(std::optional<std::string>)> handler;
@@ -249,15 +272,22 @@
 
 } // namespace
 
-void ask_framed_question(event_loop& loop, address const& from, address const& to,
-                         std::string const& question, framed_stream_limits const& limits,
-                         std::function<void(std::optional<std::string>)> handler)
+framed_client::framed_client(event_loop& loop, framed_stream_limits limits)
+    : loop_(loop), limits_(limits), held_answer_bytes_(std::make_shared<std::size_t>(0))
+{}
+
+void framed_client::ask(address const& from, address const& to, std::string const& question,
+                        std::function<void(std::optional<std::string>)> handler)
 {
-    auto const connection = std::make_shared<frame_connection>(loop, limits.max_answer_bytes);
+    auto const connection = std::make_shared<frame_connection>(
+        loop_,
+        frame_limits{.max_frame_bytes = limits_.max_answer_bytes,
+                     .max_held_bytes = limits_.max_held_answer_bytes},
+        held_answer_bytes_);
     auto const pending = std::make_shared<pending_question>();
     pending->handler = std::move(handler);
     pending->question = question;
-    connection->start_deadline(limits.exchange_timeout);
+    connection->start_deadline(limits_.exchange_timeout);
     connection->on_close([pending] { pending->handler(std::move(pending->answer)); });
     sockaddr_in local = from.to_sockaddr();
     local.sin_port = 0;
--- a/libraries/net/framed_stream.hpp
+++ b/libraries/net/framed_stream.hpp
@@ -7,6 +7,7 @@
 #include "libraries/net/event_loop.hpp"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,13 +15,15 @@
 
 namespace burdockstep {
 
-/// Limits of a framed exchange, used by the server and by `ask_framed_question`.
+/// Limits of a framed exchange, used by the server and the client.
 struct framed_stream_limits
 {
     std::size_t max_question_bytes = 64;
     std::size_t max_answer_bytes = std::size_t{6} * 1024 * 1024;
     duration exchange_timeout = std::chrono::seconds(5);
     std::size_t max_connections = 64;
+    /// Answers that arrive at the same time may take this much together. One is always read.
+    std::size_t max_held_answer_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// Accepts connections and answers one question on each.
@@ -44,10 +47,22 @@
     std::shared_ptr<state> state_;
 };
 
-/// Sends a question from the IP address `from` to `to`. Calls `handler` with the answer, or with
-/// nothing if the exchange fails or exceeds its timeout.
-void ask_framed_question(event_loop& loop, address const& from, address const& to,
-                         std::string const& question, framed_stream_limits const& limits,
-                         std::function<void(std::optional<std::string>)> handler);
+/// Asks questions, each on its own connection.
+class framed_client
+{
+public:
+    framed_client(event_loop& loop, framed_stream_limits limits);
+
+    /// Sends a question from the IP address `from` to `to`. Calls `handler` with the answer, or
+    /// with nothing if the exchange fails or exceeds a limit.
+    void ask(address const& from, address const& to, std::string const& question,
+             std::function<void(std::optional<std::string>)> handler);
+
+private:
+    event_loop& loop_;
+    framed_stream_limits limits_;
+    /// Bytes of answers that have arrived in part. Connections may outlive this object.
+    std::shared_ptr<std::size_t> held_answer_bytes_;
+};
 
 } // namespace burdockstep
--- a/libraries/net/http_client.cpp
+++ b/libraries/net/http_client.cpp
@@ -187,6 +187,8 @@
             return;
         std::unique_ptr<active_call> const call = std::move(found->second);
         calls.erase(found);
+        if (call->collects_body)
+            collected_bytes -= call->body_bytes;
         curl_multi_remove_handle(multi_handle, call->transfer);
         curl_easy_cleanup(call->transfer);
         curl_slist_free_all(call->headers);
@@ -267,12 +269,16 @@
             return size * count;
         if (call->body_bytes + size * count > call->max_body_bytes)
             call->exceeded = http1::answer_limit::body;
+        else if (call->collects_body && !call->owner->has_room_for(*call, size * count))
+            call->exceeded = http1::answer_limit::together;
         else if (call->has_tiny_chunks(call->owner->limits))
             call->exceeded = http1::answer_limit::framing;
         if (call->exceeded != http1::answer_limit::none)
             return abort_call;
         if (call->listener->on_body(std::string_view(data, size * count))) {
             call->body_bytes += size * count;
+            if (call->collects_body)
+                call->owner->collected_bytes += size * count;
             ++call->body_parts;
             return size * count;
         }
@@ -280,6 +286,12 @@
         return CURL_WRITEFUNC_PAUSE;
     }
 
+    bool has_room_for(active_call const& call, std::size_t added_bytes) const
+    {
+        bool const is_only_one = collected_bytes == call.body_bytes;
+        return is_only_one || collected_bytes + added_bytes <= limits.max_collected_bytes;
+    }
+
     void configure(active_call& call, call_options const& options)
     {
         CURL* const transfer = call.transfer;
@@ -360,6 +372,7 @@
     system_clock_source clock;
     std::unordered_map<call_number, std::unique_ptr<active_call>> calls;
     std::vector<call_number> cancelled_calls;
+    std::size_t collected_bytes = 0; ///< Of the calls that collect their bodies.
     /// Number of times that the pooled connections to an address were abandoned.
     std::map<address, unsigned> connection_generations;
     call_number next_call_number = 1;
@@ -382,6 +395,7 @@
     call->listener = &listener;
     call->to = options.to;
     call->max_body_bytes = options.max_body_bytes;
+    call->collects_body = options.collects_body;
     call->stall_timeout = options.stall_timeout;
     call->last_received_at = self.clock.now();
     self.configure(*call, options);
--- a/libraries/net/http_client.hpp
+++ b/libraries/net/http_client.hpp
@@ -43,6 +43,8 @@
     bool fresh_connection = false;
     /// The call is broken if its answer's body exceeds this size.
     std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
+    /// The body counts towards `max_collected_bytes`.
+    bool collects_body = false;
     /// Local IP address to connect from; empty for any.
     std::string local_ip;
 };
@@ -76,6 +78,9 @@
     std::size_t min_mean_part_bytes = 16;
     /// Maximum number of bytes of a body's chunks that aren't content: sizes and extensions.
     std::size_t max_framing_bytes = std::size_t{1} * 1024 * 1024;
+    /// Bodies that are collected at the same time may take this much together: a call whose body
+    /// finds no room is broken. One is always collected.
+    std::size_t max_collected_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// Runs HTTP calls on an event loop.
--- a/libraries/net/http_client_fetch.cpp
+++ b/libraries/net/http_client_fetch.cpp
@@ -42,6 +42,7 @@
 {
     call_options limited_options = options;
     limited_options.max_body_bytes = max_body_bytes;
+    limited_options.collects_body = true;
     start(limited_options, *new answer_collector(std::move(handler)));
 }
 
--- a/services/burdockstepd/memory_limits.cpp
+++ b/services/burdockstepd/memory_limits.cpp
@@ -1,5 +1,7 @@
 #include "services/burdockstepd/memory_limits.hpp"
 
+#include "libraries/wire/codec.hpp"
+
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -10,6 +12,8 @@
 
 constexpr std::size_t callers_memory_divisor = 2;
 constexpr std::size_t operators_memory_divisor = 8;
+constexpr std::size_t platform_answers_memory_divisor = 8;
+constexpr std::size_t peer_answers_memory_divisor = 8;
 constexpr std::size_t callers_descriptors_divisor = 2;
 constexpr std::size_t sends_descriptors_divisor = 4;
 constexpr std::size_t operators_descriptors_divisor = 16;
@@ -43,6 +47,17 @@
             .max_held_bytes = settings.memory_bytes / operators_memory_divisor};
 }
 
+http_client_limits make_platform_client_limits(daemon_settings const& settings)
+{
+    return {.max_collected_bytes = settings.memory_bytes / platform_answers_memory_divisor};
+}
+
+framed_stream_limits make_peer_stream_limits(daemon_settings const& settings)
+{
+    return {.max_answer_bytes = wire::max_stream_message_bytes,
+            .max_held_answer_bytes = settings.memory_bytes / peer_answers_memory_divisor};
+}
+
 http_client_limits make_send_limits()
 {
     return {.max_connections = granted_descriptors() / sends_descriptors_divisor};
--- a/services/burdockstepd/memory_limits.hpp
+++ b/services/burdockstepd/memory_limits.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "libraries/configuration/daemon_settings.hpp"
+#include "libraries/net/framed_stream.hpp"
 #include "libraries/net/http_client.hpp"
 #include "libraries/net/http_server.hpp"
 
@@ -12,6 +13,11 @@
 http_server_limits make_callers_limits(daemon_settings const& settings);
 /// Limits for the operators' listener: an eighth of the memory, and a 16th of the descriptors.
 http_server_limits make_operators_limits(daemon_settings const& settings);
+/// Limits for calls to the platform, of operators or of the daemon itself: their answers may take
+/// an eighth of the memory.
+http_client_limits make_platform_client_limits(daemon_settings const& settings);
+/// Limits for state requests to peers, whose answers may take an eighth of the memory.
+framed_stream_limits make_peer_stream_limits(daemon_settings const& settings);
 /// Limits for the sends to upstreams and other entries: a quarter of the descriptors.
 http_client_limits make_send_limits();
 
--- a/services/burdockstepd/operators/operators_task.cpp
+++ b/services/burdockstepd/operators/operators_task.cpp
@@ -66,7 +66,7 @@
 operators_task::operators_task(daemon_context& context, callers_task const& callers)
     : context_(context), callers_task_(callers),
       operators_server_(context.loop, make_operators_limits(context.settings)),
-      platform_http_client_(context.loop),
+      platform_http_client_(context.loop, make_platform_client_limits(context.settings)),
       platform_client_(platform_http_client_, context.settings.platform, platform_timeout)
 {}
 
--- a/services/burdockstepd/peers/peers_task.cpp
+++ b/services/burdockstepd/peers/peers_task.cpp
@@ -1,5 +1,7 @@
 #include "services/burdockstepd/peers/peers_task.hpp"
 
+#include "services/burdockstepd/memory_limits.hpp"
+
 #include "libraries/membership/listed_member_wire.hpp"
 #include "libraries/wire/codec.hpp"
 
@@ -10,8 +12,6 @@
 namespace {
 
 constexpr membership_options membership_settings{};
-constexpr framed_stream_limits framed_stream_settings{.max_answer_bytes =
-                                                          wire::max_stream_message_bytes};
 constexpr duration seed_request_interval = std::chrono::milliseconds(500);
 /// An unchanged directory is published again after this time, so that operators see recent values
 /// for the time since each entry was last heard.
@@ -23,6 +23,7 @@
 peers_task::peers_task(daemon_context& context)
     : context_(context), directory_(membership_settings, context.settings.instance, context.own_run,
                                     context.clock.now()),
+      state_request_client_(context.loop, make_peer_stream_limits(context.settings)),
       heartbeat_timer_(context.loop), seed_request_timer_(context.loop)
 {}
 
@@ -56,8 +57,8 @@
                                            [this](address const& sender, std::string_view bytes) {
                                                on_datagram(sender, bytes);
                                            }));
-        state_request_server_ =
-            std::make_unique<framed_server>(context_.loop, framed_stream_settings);
+        state_request_server_ = std::make_unique<framed_server>(
+            context_.loop, make_peer_stream_limits(context_.settings));
         bool const is_last_attempt = !is_system_chosen_port || attempt == max_bind_attempts;
         auto const listen_on_tcp = [&] {
             return state_request_server_->try_listen(
@@ -205,22 +206,22 @@
     std::uint64_t const own_version = configuration_ ? configuration_->version.get() : 0;
     std::string const encoded_request =
         wire::encode(wire::state_request{.known_version = own_version});
-    ask_framed_question(context_.loop, context_.settings.peers, peer, encoded_request,
-                        framed_stream_settings, [this](std::optional<std::string> const& bytes) {
-                            if (!bytes)
-                                return;
-                            auto const process_answer = [&]() -> result<void> {
-                                BOOST_LEAF_AUTO(message, wire::decode(*bytes));
-                                if (auto const* const answer =
-                                        std::get_if<wire::state_answer>(&message))
-                                    process_state_answer(*answer);
-                                return {};
-                            };
-                            handle_failure(process_answer, [&](failure const& error) {
-                                log_.warning("dropped malformed state answer from a peer",
-                                             {field("why", error.message)});
-                            });
-                        });
+    state_request_client_.ask(context_.settings.peers, peer, encoded_request,
+                              [this](std::optional<std::string> const& bytes) {
+                                  if (!bytes)
+                                      return;
+                                  auto const process_answer = [&]() -> result<void> {
+                                      BOOST_LEAF_AUTO(message, wire::decode(*bytes));
+                                      if (auto const* const answer =
+                                              std::get_if<wire::state_answer>(&message))
+                                          process_state_answer(*answer);
+                                      return {};
+                                  };
+                                  handle_failure(process_answer, [&](failure const& error) {
+                                      log_.warning("dropped malformed state answer from a peer",
+                                                   {field("why", error.message)});
+                                  });
+                              });
 }
 
 void peers_task::process_state_answer(wire::state_answer const& answer)
--- a/services/burdockstepd/peers/peers_task.hpp
+++ b/services/burdockstepd/peers/peers_task.hpp
@@ -45,6 +45,7 @@
     member_directory directory_;
     std::unique_ptr<udp_socket> peer_socket_;
     std::unique_ptr<framed_server> state_request_server_;
+    framed_client state_request_client_;
     timer heartbeat_timer_;
     timer seed_request_timer_;
     std::shared_ptr<configuration_in_force const> configuration_;
--- a/services/burdockstepd/platform/platform_task.cpp
+++ b/services/burdockstepd/platform/platform_task.cpp
@@ -1,5 +1,7 @@
 #include "services/burdockstepd/platform/platform_task.hpp"
 
+#include "services/burdockstepd/memory_limits.hpp"
+
 #include "libraries/configuration_sync/configuration_records.hpp"
 #include "libraries/core/digest.hpp"
 
@@ -22,7 +24,8 @@
 } // namespace
 
 platform_task::platform_task(daemon_context& context)
-    : context_(context), platform_http_client_(context.loop),
+    : context_(context),
+      platform_http_client_(context.loop, make_platform_client_limits(context.settings)),
       platform_client_(platform_http_client_, context.settings.platform, platform_timeout),
       follower_(context.clock.now() + configuration_follower::adoption_delay_after_start),
       list_read_timer_(context.loop), head_read_timer_(context.loop),
--- a/tests/process/endless_answers.py
+++ b/tests/process/endless_answers.py
@@ -64,13 +64,10 @@
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
-            while head := await reader.readuntil(b"\r\n\r\n"):
-                found = re.search(rb"(?i)x-request-id: *(\S+)", head)
+            while request := await read_request(reader):
+                found = re.search(rb"(?i)x-request-id: *(\S+)", request)
                 identity = found[1] if found else b"-"
-                length = re.search(rb"(?i)content-length: *(\d+)", head)
-                if length:
-                    await reader.readexactly(int(length[1]))
-                if self.path.encode() in head.split(b"\r\n")[0]:
+                if self.path.encode() in request.split(b"\r\n")[0]:
                     await self.send_without_end(writer, identity)
                 else:
                     self.write_short_answer(writer, identity)
@@ -96,3 +93,66 @@
             sent_bytes += len(bytes_to_send)
             self.sent_bytes += len(bytes_to_send)
             self.most_sent_bytes = max(self.most_sent_bytes, sent_bytes)
+
+
+class FaultyStore(EndlessServer):
+    """Passes calls on to `store` until its fault begins: answers of its kind."""
+
+    def __init__(self, kind, path="/v1/"):
+        super().__init__("store", kind, path)
+        self.store = None
+        self.refused_path = None  # Calls for it aren't passed on.
+        self.is_faulty = False
+
+    def begin_fault(self):
+        self.is_faulty = True
+        for each in list(self.writers):
+            each.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            if self.is_faulty:
+                await self.serve_fault(reader, writer)
+            else:
+                await self.pass_on(reader, writer)
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def serve_fault(self, reader, writer):
+        await super().serve(reader, writer)
+
+    async def pass_on(self, reader, writer):
+        host, port = self.store.split(":")
+        from_store, to_store = await asyncio.open_connection(host, int(port))
+        self.writers.add(to_store)
+        answers = asyncio.create_task(self.pass_answers_on(from_store, writer))
+        try:
+            while request := await read_request(reader):
+                if self.refused_path and self.refused_path.encode() in request.split(b"\r\n")[0]:
+                    return
+                to_store.write(request)
+                await to_store.drain()
+        finally:
+            to_store.close()
+            self.writers.discard(to_store)
+            answers.cancel()
+
+    async def pass_answers_on(self, from_store, writer):
+        try:
+            while data := await from_store.read(65536):
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        writer.close()
+
+
+async def read_request(reader):
+    """Head and body of a request."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = re.search(rb"(?i)content-length: *(\d+)", head)
+    return head + (await reader.readexactly(int(length[1])) if length else b"")
--- a/tests/unit/http_client_endless_test.cpp
+++ b/tests/unit/http_client_endless_test.cpp
@@ -26,6 +26,40 @@
     return text;
 }
 
+call_options options_for(endless_server const& server)
+{
+    return {.to = server.at(),
+            .path = "/",
+            .headers = {},
+            .body = {},
+            .deadline = deadline,
+            .local_ip = {}};
+}
+
+/// Stops the loop when so many bytes of a body have arrived.
+class waiting_listener final : public call_listener
+{
+public:
+    waiting_listener(event_loop& loop, std::size_t awaited_bytes)
+        : loop_(loop), awaited_bytes_(awaited_bytes)
+    {}
+
+    void on_head(http_head const&) override {}
+    bool on_body(std::string_view bytes) override
+    {
+        received_bytes_ += bytes.size();
+        if (received_bytes_ >= awaited_bytes_)
+            loop_.stop();
+        return true;
+    }
+    void on_done(call_end) override { loop_.stop(); }
+
+private:
+    event_loop& loop_;
+    std::size_t awaited_bytes_;
+    std::size_t received_bytes_ = 0;
+};
+
 /// Returns how a call to a server ends that sends `start` and then `part` without end, or nothing
 /// if it goes on.
 std::optional<call_end> end_of_call(std::string const& start, std::string const& part)
@@ -34,13 +68,8 @@
     endless_server const server(start, part);
     http_client client(loop, {});
     std::optional<call_end> end;
-    client.fetch({.to = server.at(),
-                  .path = "/",
-                  .headers = {},
-                  .body = {},
-                  .deadline = deadline,
-                  .local_ip = {}},
-                 max_body_bytes, [&](http_client::fetch_result const& received) {
+    client.fetch(options_for(server), max_body_bytes,
+                 [&](http_client::fetch_result const& received) {
                      end = received.end;
                      loop.stop();
                  });
@@ -102,3 +131,39 @@
                           "0\r\n\r\n",
                       "x") == call_end::complete);
 }
+
+// Guards against many bodies of the permitted size at the same time: with 32 operators who asked
+// what the platform couldn't answer, 98 MB.
+TEST(http_client_endless, collected_bodies_share_a_limit)
+{
+    std::string const body = repeated("b", 4'096);
+    endless_server const slow_server(ok + "\r\n" + body, "b", std::chrono::milliseconds(100));
+    endless_server const first_server(ok + "\r\n", body);
+    endless_server const second_server(ok + "\r\n", body);
+    event_loop loop;
+    http_client client(loop, {.max_collected_bytes = body.size()});
+    auto const end_of_fetch = [&](endless_server const& server) {
+        std::optional<call_end> end;
+        client.fetch(options_for(server), max_body_bytes,
+                     [&](http_client::fetch_result const& received) {
+                         end = received.end;
+                         loop.stop();
+                     });
+        loop.run();
+        return end;
+    };
+
+    waiting_listener listener(loop, body.size());
+    call_options slow_options = options_for(slow_server);
+    slow_options.collects_body = true;
+    call_number const slow_call = client.start(slow_options, listener);
+    loop.run();
+    CHECK(end_of_fetch(first_server) == call_end::broken);
+    LONGS_EQUAL(1, client.broken_by(http1::answer_limit::together));
+
+    // The only one may take as much as its own limit allows.
+    client.cancel(slow_call);
+    CHECK(end_of_fetch(second_server) == call_end::broken);
+    LONGS_EQUAL(1, client.broken_by(http1::answer_limit::together));
+    LONGS_EQUAL(1, client.broken_by(http1::answer_limit::body));
+}
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -306,12 +306,14 @@
         if (listening)
             at = listening.value();
     }
+    // One answer is read, however little answers may take together.
+    framed_client questioner(shared_loop(), {.max_held_answer_bytes = 1});
     for (std::string const& question :
          {std::string("x"), std::string("refuse"), std::string(1'000, 'y')}) {
         std::optional<std::optional<std::string>> received_answer;
-        ask_framed_question(
-            shared_loop(), loopback_any_port(), at, question, {},
-            [&](std::optional<std::string> answer) { received_answer = std::move(answer); });
+        questioner.ask(loopback_any_port(), at, question, [&](std::optional<std::string> answer) {
+            received_answer = std::move(answer);
+        });
         run_until([&] { return received_answer.has_value(); });
         CHECK((question == "x") == received_answer->has_value());
     }
