Freeze each gateway in turn while an upstream leaves, in a test

The randomised test of registry updates draws orders of messages; real processes had only been tried with late starts and restored copies.

The new check stops each of six gateways once, both readers among them, removes an upstream meanwhile and performs a late heartbeat of it.

The loop that runs each check on a deployment of its own stood in three files; it is `run_checks` in test_gateway.py now. The two sites of test_memory_operators.py share their call.

--- a/tests/process/test_gateway.py
+++ b/tests/process/test_gateway.py
@@ -570,6 +570,20 @@
     deployment.gateways.remove(gateway)
 
 
+def run_checks(make_deployment, checks):
+    """Runs each check on a deployment of its own, also after one has failed."""
+    failed = []
+    for check in checks:
+        try:
+            with make_deployment(sys.argv[1]) as deployment:
+                check(deployment)
+            print(f"ok {check.__name__}", flush=True)
+        except AssertionError as error:
+            print(f"FAILED {check.__name__}: {error}", flush=True)
+            failed.append(check.__name__)
+    sys.exit(1 if failed else 0)
+
+
 def main():
     with GatewayDeployment(sys.argv[1]) as deployment:
         for check in (check_requests_reach_upstreams_of_their_route,
--- a/tests/process/test_memory_operators.py
+++ b/tests/process/test_memory_operators.py
@@ -14,17 +14,20 @@
 UNFINISHED_BODY = head("POST", "/v1/apply", f"Content-Length: {MAX_DOCUMENT_BYTES}")
 
 
+def status_of_get(port, path):
+    try:
+        return http("GET", f"http://127.0.0.1:{port}{path}", timeout_s=CALL_LIMIT_S)[0]
+    except OSError:
+        return 0
+
+
 class OperatorsSite(DaemonSite):
     """One daemon; the ordinary request is an operator's."""
 
     crowds_listener = "operators"
 
     def call(self):
-        try:
-            return http("GET", f"http://127.0.0.1:{self.ports['operators']}/v1/status",
-                        timeout_s=CALL_LIMIT_S)[0]
-        except OSError:
-            return 0
+        return status_of_get(self.ports["operators"], "/v1/status")
 
 
 class ReadinessSite(MemorySite):
@@ -33,11 +36,7 @@
     crowds_listener = "readiness"
 
     def call(self):
-        try:
-            return http("GET", f"http://127.0.0.1:{self.ports['readiness']}/v1/ready",
-                        timeout_s=CALL_LIMIT_S)[0]
-        except OSError:
-            return 0
+        return status_of_get(self.ports["readiness"], "/v1/ready")
 
 
 def crowd(parts, slow_part=b""):
--- a/tests/process/test_registry_agreement.py
+++ b/tests/process/test_registry_agreement.py
@@ -1,11 +1,12 @@
 """Gateways that read the registry, those that are told of it, and those that start late must agree
 on which upstreams have left, whatever the store writes late or brings back from an older copy."""
 import json
-import sys
+import signal
 import time
 
 from deployment import wait_until
-from test_gateway import GATEWAY_COUNT, GatewayDeployment, metric, wait_until_usable
+from test_gateway import (GATEWAY_COUNT, GatewayDeployment, metric, run_checks,
+                          wait_until_usable)
 
 KNOWN_BEFORE = 6  # Upstreams of the site stand-in.
 FURTHER_GATEWAYS = 3  # Only two of all read the registry.
@@ -96,6 +97,26 @@
     wait_until_usable(deployment, KNOWN_BEFORE + 1)
 
 
+def check_frozen_gateways_agree_when_they_wake(deployment):
+    """Guards against a reader that was frozen and tells of an upstream that left meanwhile (DRAIN)."""
+    start_further_gateways(deployment)
+    time.sleep(2)  # By now the readers are chosen: each gateway is frozen once, so they are too.
+    for number, frozen in enumerate(list(deployment.gateways)):
+        newest = 10 * (number + 1)
+        write_heartbeat(deployment, newest)
+        wait_until_usable(deployment, KNOWN_BEFORE + 1)
+        frozen["process"].signal(signal.SIGSTOP)
+        deployment.gateways.remove(frozen)
+        remove(deployment)
+        wait_until_usable(deployment, KNOWN_BEFORE)
+        write_heartbeat(deployment, newest - 1)
+        check_stays_unusable(deployment, SETTLE_S)
+        deployment.gateways.append(frozen)
+        frozen["process"].signal(signal.SIGCONT)
+        wait_until_usable(deployment, KNOWN_BEFORE)
+        check_stays_unusable(deployment, SETTLE_S)
+
+
 def check_upstream_that_is_cold_again_is_cold_at_all_gateways(deployment):
     """Guards against gateways that take an upstream for warm, and overload it (FAILBACK)."""
     start_further_gateways(deployment)
@@ -115,21 +136,9 @@
           check_gateway_that_starts_beside_a_late_heartbeat_is_corrected,
           check_older_copy_does_not_bring_back_an_upstream,
           check_upstream_that_writes_on_is_used_again,
+          check_frozen_gateways_agree_when_they_wake,
           check_upstream_that_is_cold_again_is_cold_at_all_gateways]
 
 
-def main():
-    failed = []
-    for check in CHECKS:
-        try:
-            with GatewayDeployment(sys.argv[1]) as deployment:
-                check(deployment)
-            print(f"ok {check.__name__}", flush=True)
-        except AssertionError as error:
-            print(f"FAILED {check.__name__}: {error}", flush=True)
-            failed.append(check.__name__)
-    sys.exit(1 if failed else 0)
-
-
 if __name__ == "__main__":
-    main()
+    run_checks(GatewayDeployment, CHECKS)
--- a/tests/process/test_store_restored.py
+++ b/tests/process/test_store_restored.py
@@ -1,10 +1,10 @@
 """Restores the store from a copy while gateways run: versions go back and are given out again, and
 what was written since the copy is gone until its writers write it again."""
-import sys
 import time
 
 from deployment import wait_until
-from test_gateway import GatewayDeployment, metric, store_call_count, wait_until_usable
+from test_gateway import (GatewayDeployment, metric, run_checks, store_call_count,
+                          wait_until_usable)
 
 # Versions that the store gives out between the copy and its restoration.
 LOST_VERSIONS = 12
@@ -102,18 +102,5 @@
           check_lost_evacuation_holds_until_its_writer_has_had_time]
 
 
-def main():
-    failed = []
-    for check in CHECKS:
-        try:
-            with GatewayDeployment(sys.argv[1]) as deployment:
-                check(deployment)
-            print(f"ok {check.__name__}", flush=True)
-        except AssertionError as error:
-            print(f"FAILED {check.__name__}: {error}", flush=True)
-            failed.append(check.__name__)
-    sys.exit(1 if failed else 0)
-
-
 if __name__ == "__main__":
-    main()
+    run_checks(GatewayDeployment, CHECKS)
--- a/tests/process/test_withdrawn_keys.py
+++ b/tests/process/test_withdrawn_keys.py
@@ -2,12 +2,11 @@
 useless at gateways that are in touch, frozen, or without the store, and that a new one isn't denied."""
 import json
 import signal
-import sys
 import threading
 import time
 
 from deployment import http as http_call, wait_until
-from test_gateway import GatewayDeployment, metric
+from test_gateway import GatewayDeployment, metric, run_checks
 
 REVOCATION_LIMIT_S = 5
 APPLY_LIMIT_S = 3
@@ -195,18 +194,5 @@
           check_a_restored_store_confirms_keys_again]
 
 
-def main():
-    failed = []
-    for check in CHECKS:
-        try:
-            with KeyedDeployment(sys.argv[1]) as deployment:
-                check(deployment)
-            print(f"ok {check.__name__}", flush=True)
-        except AssertionError as error:
-            print(f"FAILED {check.__name__}: {error}", flush=True)
-            failed.append(check.__name__)
-    sys.exit(1 if failed else 0)
-
-
 if __name__ == "__main__":
-    main()
+    run_checks(KeyedDeployment, CHECKS)
