Read what an operator sent before others take the connection's place

Cause: a busy process accepts all connections that wait, and only then reads from any of them. With 32 places, an operator's connection that 32 others follow is the oldest unfinished one, and is given up with its whole request unread.

Change: where new connections take the place of old ones, what a peer has sent is read as soon as its connection is accepted.

An operator whose request follows his connection late can still lose his place to such a crowd.

--- a/libraries/http1/memory_budget.hpp
+++ b/libraries/http1/memory_budget.hpp
@@ -70,6 +70,7 @@
     void sample();
 
     std::size_t max_bytes() const { return options_.max_bytes; }
+    bool replaces_oldest_connection() const { return options_.replaces_oldest_connection; }
     std::size_t max_connections() const { return options_.max_connections; }
     std::size_t used_bytes() const { return used_bytes_; }
     std::size_t connections() const { return accounts_.size() - given_up_connections_; }
--- a/libraries/http1/server.cpp
+++ b/libraries/http1/server.cpp
@@ -127,7 +127,12 @@
         if (closing_after_answers_)
             connection->close_after_answers();
         ++counters_.accepted;
-        connections_.emplace(connection.get(), std::move(connection));
+        server_connection& accepted = *connection;
+        connections_.emplace(&accepted, std::move(connection));
+        // All that wait to be accepted are, before the loop reads from any of them: a complete
+        // request must be seen before its connection can make room for others.
+        if (budget_->replaces_oldest_connection())
+            accepted.read_arrived();
     }
 
     template <class Action>
--- a/libraries/http1/server_connection.hpp
+++ b/libraries/http1/server_connection.hpp
@@ -33,6 +33,8 @@
     server_connection& operator=(server_connection const&) = delete;
 
     bool accept(uv_stream_t* listening_handle);
+    /// Handles what the caller has sent by now.
+    void read_arrived() { socket_.read_arrived(); }
     void set_limits(server_limits const& limits);
     /// Writes the answers that are ready and have no unanswered request before them.
     void write_ready_answers();
--- a/libraries/http1/stream_socket.cpp
+++ b/libraries/http1/stream_socket.cpp
@@ -276,6 +276,23 @@
         });
 }
 
+void stream_socket::read_arrived()
+{
+    uv_os_fd_t descriptor = -1;
+    bool const is_open = state_ != nullptr && !state_->handle_is_closing;
+    if (!is_open ||
+        uv_fileno(reinterpret_cast<uv_handle_t const*>(&state_->handle), &descriptor) != 0)
+        return;
+    auto& read_buffer = shared_read_buffer();
+    ssize_t const size = recv(descriptor, read_buffer.data(), read_buffer.size(), MSG_DONTWAIT);
+    // Ends and errors stay for the loop.
+    if (size <= 0)
+        return;
+    state_->read_bytes += static_cast<std::uint64_t>(size);
+    state_->listener->on_bytes(
+        std::string_view(read_buffer.data(), static_cast<std::size_t>(size)));
+}
+
 void stream_socket::stop_reading()
 {
     // Within one callback of the loop libuv reads on, up to some megabytes, unless it is stopped.
--- a/libraries/http1/stream_socket.hpp
+++ b/libraries/http1/stream_socket.hpp
@@ -61,6 +61,8 @@
     void connect(address const& to, duration unacknowledged_timeout);
     /// Accepts a connection from a listening handle. Returns false if there is none to accept.
     bool accept(uv_stream_t* listening_handle, duration unacknowledged_timeout);
+    /// Takes what has arrived, without waiting for the loop to come round.
+    void read_arrived();
     /// Takes no further bytes. For a connection that is about to be closed.
     void stop_reading();
     /// Writes the head and then the body, which is shared and not copied.
--- a/tests/process/test_memory_operators.py
+++ b/tests/process/test_memory_operators.py
@@ -1,5 +1,8 @@
 """Connections that never complete a request stand at a daemon's operators' listener, or at a gateway's
 listener for readiness checks. Operators and the platform are still answered."""
+import asyncio
+import signal
+import socket
 import sys
 
 from deployment import binaries_folder_argument, http
@@ -83,9 +86,28 @@
     await check_while_crowd_comes_back(site, [UNFINISHED_BODY, b"b" * 1000])
 
 
+async def check_operator_is_answered_whom_a_crowd_follows(site):
+    """Guards against a crowd that a busy process accepts before it reads what an operator sent."""
+    site.measured.signal(signal.SIGSTOP)
+    connections = []
+    for request in [head("GET", "/v1/status"), *[UNFINISHED_HEAD] * CROWD]:
+        connections.append(socket.create_connection(("127.0.0.1", site.ports["operators"])))
+        connections[-1].sendall(request)
+    site.measured.signal(signal.SIGCONT)
+    connections[0].settimeout(CALL_LIMIT_S)
+    try:
+        answer = await asyncio.to_thread(connections[0].recv, 65536)
+    except OSError as error:
+        answer = repr(error).encode()
+    for each in connections:
+        each.close()
+    assert answer.startswith(b"HTTP/1.1 200"), f"the operator got {answer[:100]}"
+
+
 if __name__ == "__main__":
     for check in (check_unfinished_heads, check_unfinished_bodies, check_dripping_heads,
                   check_dripping_bodies, check_steady_bodies, check_silent_connections,
-                  check_heads_that_come_back, check_bodies_that_come_back):
+                  check_heads_that_come_back, check_bodies_that_come_back,
+                  check_operator_is_answered_whom_a_crowd_follows):
         run_on(OperatorsSite(binaries_folder_argument(sys.argv)), check)
     run_on(ReadinessSite(sys.argv[1]), check_heads_that_come_back)
