Begin and stay with a small receive buffer where memory is short

Change: with a budget under 64 MiB the buffer is set to 64 KiB, about the size with which it begins, so that it neither starts larger nor grows.

--- a/libraries/http1/stream_socket.cpp
+++ b/libraries/http1/stream_socket.cpp
@@ -21,11 +21,11 @@
 
 /// The operating system holds about this many bytes that a peer has sent and that aren't read yet:
 /// enough for several MB a second between regions.
-constexpr std::size_t max_received_bytes = std::size_t{512} * 1024;
-constexpr std::size_t min_received_bytes = std::size_t{64} * 1024;
-/// With little memory, it is this part of the budget: what waits isn't in the budget, and there may
-/// be many peers.
-constexpr std::size_t received_bytes_divisor = 128;
+constexpr unsigned max_received_bytes = 512 * 1024;
+/// The same with a small budget, as what waits isn't in the budget and there may be many peers: the
+/// size with which Linux begins, so that it doesn't grow.
+constexpr unsigned max_received_bytes_with_little_memory = 64 * 1024;
+constexpr std::size_t little_memory_bytes = std::size_t{64} * 1024 * 1024;
 
 /// TCP keep-alive finds a peer that vanished before it closed its side of the connection.
 constexpr unsigned keep_alive_probe_delay_s = 5;
@@ -95,13 +95,6 @@
     set_tcp_option(handle, TCP_USER_TIMEOUT, milliseconds);
 }
 
-/// How much of what a peer sends the operating system may hold.
-unsigned max_unread_bytes_for(memory_budget const& budget)
-{
-    return static_cast<unsigned>(std::clamp(budget.max_bytes() / received_bytes_divisor,
-                                            min_received_bytes, max_received_bytes));
-}
-
 } // namespace
 
 struct stream_socket::write_request
@@ -117,7 +110,7 @@
 {
     state(event_loop& owning_loop, stream_listener& new_listener, memory_budget& budget)
         : loop(owning_loop), listener(&new_listener), account(budget.open_account(*this)),
-          connection_charge(account), max_unread_bytes(max_unread_bytes_for(budget))
+          connection_charge(account), has_little_memory(budget.max_bytes() < little_memory_bytes)
     {
         connection_charge.resize(memory_budget::connection_bytes);
         handle.data = this;
@@ -148,7 +141,7 @@
     std::size_t unsent_writes = 0;
     std::shared_ptr<memory_account> account;
     memory_charge connection_charge;
-    unsigned max_unread_bytes;
+    bool has_little_memory;
 
     std::uint64_t moved_bytes() const override
     {
@@ -172,12 +165,12 @@
     /// Limits what the operating system holds of what the peer sends.
     void limit_unread_bytes()
     {
-        set_tcp_option(handle, TCP_WINDOW_CLAMP, max_unread_bytes);
+        set_tcp_option(handle, TCP_WINDOW_CLAMP, max_received_bytes);
         // A clamp is exceeded when the operating system enlarges the buffer by itself; a buffer of
         // a set size is not. It is set only where memory is short: the size is limited by the
         // machine's settings, and with it what a distant peer can send in a second.
-        if (max_unread_bytes < max_received_bytes) {
-            int buffer_bytes = static_cast<int>(max_unread_bytes);
+        if (has_little_memory) {
+            int buffer_bytes = max_received_bytes_with_little_memory;
             uv_recv_buffer_size(reinterpret_cast<uv_handle_t*>(&handle), &buffer_bytes);
         }
     }
