Let an operator's connection stay until its request can arrive

What operators saw: beside 64 callers who connect to the operators' listener again and again, requests were reset, the more often the longer a request came after its connection (a far operator, a busy machine).

Cause: a new connection takes the place of the oldest one that is unfinished. The callers who came back opened as many connections in some 10 ms as there are places (32), so that was all the time that any connection had.

Change: while all places are taken, no more connections are accepted in 100 ms than there are places. Those behind wait in the operating system's queue, in their order. libuv reports no further connection until the waiting one is accepted. Listeners of callers refuse as before.

--- a/libraries/http1/memory_budget.hpp
+++ b/libraries/http1/memory_budget.hpp
@@ -71,6 +71,13 @@
 
     std::size_t max_bytes() const { return options_.max_bytes; }
     bool replaces_oldest_connection() const { return options_.replaces_oldest_connection; }
+    /// True if another connection of a peer can only take the place of one.
+    bool is_full() const { return connections() >= options_.max_connections_to_accept; }
+    /// Number of connections of peers that a new one may replace. Zero if none are replaced.
+    std::size_t replaceable_connections() const
+    {
+        return options_.replaces_oldest_connection ? options_.max_connections_to_accept : 0;
+    }
     std::size_t max_connections() const { return options_.max_connections; }
     std::size_t used_bytes() const { return used_bytes_; }
     std::size_t connections() const { return accounts_.size() - given_up_connections_; }
--- a/libraries/http1/server.cpp
+++ b/libraries/http1/server.cpp
@@ -1,5 +1,6 @@
 #include "libraries/http1/server.hpp"
 
+#include "libraries/http1/accept_pace.hpp"
 #include "libraries/http1/server_connection.hpp"
 
 #include "libraries/core/log.hpp"
@@ -16,6 +17,9 @@
 constexpr int listen_backlog = 511;
 /// Time limits are seconds long, so this resolution is enough.
 constexpr duration time_limit_check_interval = std::chrono::milliseconds(500);
+/// Where a new connection takes the place of an older one, each has at least this time to send a
+/// request: longer than a peer in another region needs from its connection to its request.
+constexpr duration min_stay_before_replacement = std::chrono::milliseconds(100);
 
 /// Unsent bytes of the sockets that were accepted on a port.
 struct unsent_bytes_of_port
@@ -75,7 +79,9 @@
     state(event_loop& loop, clock_source const& clock, server_limits limits,
           std::shared_ptr<memory_budget> budget)
         : loop_(loop), clock_(clock), limits_(limits), budget_(std::move(budget)),
-          time_limit_timer_(loop)
+          time_limit_timer_(loop),
+          accept_pace_(budget_->replaceable_connections(), min_stay_before_replacement),
+          accept_timer_(loop)
     {}
 
     void on_request(std::shared_ptr<exchange> each) override { handler_(std::move(each)); }
@@ -95,6 +101,12 @@
         loop_.post(
             [ended_connection = std::shared_ptr<server_connection>(std::move(found->second))] {});
         connections_.erase(found);
+        if (connection_waits_) {
+            loop_.post([weak_state = weak_from_this()] {
+                if (auto const server_state = weak_state.lock())
+                    server_state->accept_waiting();
+            });
+        }
     }
 
     void count_read_after_end(connection_end end, std::size_t bytes)
@@ -112,6 +124,30 @@
         };
     }
 
+    /// Accepts the next connection, or leaves it and those behind it to wait: until it is accepted,
+    /// the loop reports no other.
+    void accept_when_due()
+    {
+        time_point const now = clock_.now();
+        bool const takes_a_place = budget_->replaces_oldest_connection() && budget_->is_full();
+        duration const wait = takes_a_place ? accept_pace_.wait_before_next(now) : duration::zero();
+        connection_waits_ = wait > duration::zero();
+        if (connection_waits_) {
+            accept_timer_.start_once(wait, [this] { accept_waiting(); });
+            return;
+        }
+        accept_pace_.note_accepted(now);
+        accept();
+    }
+
+    void accept_waiting()
+    {
+        if (!connection_waits_ || listening_handle_ == nullptr)
+            return;
+        accept_timer_.stop();
+        accept_when_due();
+    }
+
     void accept()
     {
         bool const has_room = budget_->try_accept_connection();
@@ -152,6 +188,7 @@
     {
         if (listening_handle_ == nullptr)
             return;
+        accept_timer_.stop();
         uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(listening_handle_, nullptr)),
                  [](uv_handle_t* handle) { delete reinterpret_cast<uv_tcp_t*>(handle); });
     }
@@ -165,6 +202,9 @@
     std::shared_ptr<memory_budget> budget_;
     logger log_{"http-server", log_lines_per_second};
     timer time_limit_timer_;
+    accept_pace accept_pace_;
+    bool connection_waits_ = false; ///< A connection waits to be accepted.
+    timer accept_timer_;            ///< Accepts the connection that waits.
     request_handler handler_;
     uv_tcp_t* listening_handle_ = nullptr;
     address listening_address_;
@@ -202,7 +242,7 @@
         code = uv_listen(reinterpret_cast<uv_stream_t*>(listening_handle), listen_backlog,
                          [](uv_stream_t* stream, int status) {
                              if (status == 0)
-                                 static_cast<state*>(stream->data)->accept();
+                                 static_cast<state*>(stream->data)->accept_when_due();
                          });
     }
     if (code != 0) {
--- a/tests/process/test_memory_operators.py
+++ b/tests/process/test_memory_operators.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 import sys
+import time
 
 from deployment import binaries_folder_argument, http
 from memory_site import Caller, MemorySite, run_on
@@ -11,6 +12,8 @@
 from test_memory_endless import ReturningCaller, check_ordinary_calls_beside
 
 CROWD = 64
+# Time from an operator's connection to his request: a round trip between regions, or a busy machine.
+LATE_REQUEST_S = 0.06
 DRIP = b"a"
 STEADY_PART = b"b" * 1000
 UNFINISHED_HEAD = b"GET /v1/status HTTP/1.1\r\nHost: h\r\nX-Field: "
@@ -33,6 +36,20 @@
         return status_of_get(self.ports["operators"], "/v1/status")
 
 
+class LateOperatorsSite(OperatorsSite):
+    """The operator's request comes later than his connection."""
+
+    def call(self):
+        try:
+            with socket.create_connection(("127.0.0.1", self.ports["operators"]),
+                                          timeout=CALL_LIMIT_S) as connection:
+                time.sleep(LATE_REQUEST_S)
+                connection.sendall(head("GET", "/v1/status"))
+                return int(connection.recv(65536).split()[1])
+        except (OSError, IndexError):
+            return 0
+
+
 class ReadinessSite(MemorySite):
     """One gateway; the ordinary request is the platform's readiness check."""
 
@@ -86,6 +103,11 @@
     await check_while_crowd_comes_back(site, [UNFINISHED_BODY, b"b" * 1000])
 
 
+async def check_late_requests_beside_a_crowd_that_comes_back(site):
+    """Guards against a crowd that takes an operator's place before his request has arrived."""
+    await check_while_crowd_comes_back(site, [UNFINISHED_HEAD])
+
+
 async def check_operator_is_answered_whom_a_crowd_follows(site):
     """Guards against a crowd that a busy process accepts before it reads what an operator sent."""
     site.measured.signal(signal.SIGSTOP)
@@ -104,19 +126,18 @@
     assert answer.startswith(b"HTTP/1.1 200"), f"the operator got {answer[:100]}"
 
 
-CHECKS = [check_unfinished_heads, check_unfinished_bodies, check_dripping_heads,
-          check_dripping_bodies, check_steady_bodies, check_silent_connections,
-          check_operator_is_answered_whom_a_crowd_follows]
-# Listed in KNOWN-RED.txt; run when "come-back" is named.
-KNOWN_RED_CHECKS = [check_heads_that_come_back, check_bodies_that_come_back]
+CHECKS = [(OperatorsSite, check_unfinished_heads), (OperatorsSite, check_unfinished_bodies),
+          (OperatorsSite, check_dripping_heads), (OperatorsSite, check_dripping_bodies),
+          (OperatorsSite, check_steady_bodies), (OperatorsSite, check_silent_connections),
+          (OperatorsSite, check_operator_is_answered_whom_a_crowd_follows),
+          (OperatorsSite, check_heads_that_come_back), (OperatorsSite, check_bodies_that_come_back),
+          (LateOperatorsSite, check_late_requests_beside_a_crowd_that_comes_back),
+          (ReadinessSite, check_heads_that_come_back)]
 
 
 if __name__ == "__main__":
     binaries = binaries_folder_argument(sys.argv[:2])
-    if sys.argv[2:] == ["come-back"]:
-        for check in KNOWN_RED_CHECKS:
-            run_on(OperatorsSite(binaries), check)
-        run_on(ReadinessSite(binaries), check_heads_that_come_back)
-    else:
-        for check in CHECKS:
-            run_on(OperatorsSite(binaries), check)
+    for site_type, check in CHECKS:
+        # Names after the folder choose some of the checks.
+        if not sys.argv[2:] or check.__name__ in sys.argv[2:]:
+            run_on(site_type(binaries), check)
