Tell operators when a peer's answer exceeds a limit

What operators saw: a daemon that drops peers' answers, since they are too long or together have no room, went on without their content and said nothing.

Cause: framed_client reported any end without an answer in the same way.

The unit test reads an answer longer than the limit. The process test looks for the line with frames that are too long (8 peers that announce 4 GB) or have no room (8 frames of 6 MB in a daemon of 64 MB): it is there; with answers that are no message it isn't.

--- a/libraries/net/framed_stream.cpp
+++ b/libraries/net/framed_stream.cpp
@@ -121,6 +121,9 @@
     /// `handler` runs once, when the connection has closed for any reason.
     void on_close(std::function<void()> handler) { close_handler_ = std::move(handler); }
 
+    /// Returns true if the connection was closed since a frame was too long or had no room.
+    bool has_exceeded_limit() const { return has_exceeded_limit_; }
+
     void close()
     {
         auto* const handle = reinterpret_cast<uv_handle_t*>(&tcp_);
@@ -142,14 +145,14 @@
         *held_bytes_ += bytes.size();
         bool const is_only_one = *held_bytes_ == received_bytes_.size();
         if (*held_bytes_ > limits_.max_held_bytes && !is_only_one) {
-            close();
+            close_for_limit();
             return;
         }
         if (received_bytes_.size() < length_prefix_bytes)
             return;
         std::size_t const length = decode_length(received_bytes_);
         if (length > limits_.max_frame_bytes) {
-            close();
+            close_for_limit();
             return;
         }
         if (received_bytes_.size() < length_prefix_bytes + length)
@@ -159,6 +162,12 @@
             handler(std::string_view(received_bytes_).substr(length_prefix_bytes, length));
     }
 
+    void close_for_limit()
+    {
+        has_exceeded_limit_ = true;
+        close();
+    }
+
     uv_tcp_t tcp_{};
     uv_write_t write_request_{};
     uv_connect_t connect_request_{};
@@ -173,6 +182,7 @@
     std::function<void()> close_handler_;
     std::shared_ptr<frame_connection> self_reference_;
     bool close_after_write_ = false;
+    bool has_exceeded_limit_ = false;
 };
 
 } // namespace
@@ -265,8 +275,8 @@
 /// One question of a `framed_client`, shared by the callbacks of its connection.
 struct pending_question
 {
-    std::function<void(std::optional<std::string>)> handler;
-    std::optional<std::string> answer;
+    std::function<void(framed_answer const&)> handler;
+    framed_answer answer;
     std::string question;
 };
 
@@ -277,7 +287,7 @@
 {}
 
 void framed_client::ask(address const& from, address const& to, std::string const& question,
-                        std::function<void(std::optional<std::string>)> handler)
+                        std::function<void(framed_answer const&)> handler)
 {
     auto const connection = std::make_shared<frame_connection>(
         loop_,
@@ -288,7 +298,10 @@
     pending->handler = std::move(handler);
     pending->question = question;
     connection->start_deadline(limits_.exchange_timeout);
-    connection->on_close([pending] { pending->handler(std::move(pending->answer)); });
+    connection->on_close([pending, closed = connection.get()] {
+        pending->answer.exceeds_limit = closed->has_exceeded_limit();
+        pending->handler(pending->answer);
+    });
     sockaddr_in local = from.to_sockaddr();
     local.sin_port = 0;
     uv_tcp_bind(connection->tcp(), reinterpret_cast<sockaddr const*>(&local), 0);
@@ -302,7 +315,7 @@
             return;
         }
         live_connection->read_frame([pending, weak_connection](std::string_view bytes) {
-            pending->answer = std::string(bytes);
+            pending->answer.content = std::string(bytes);
             if (auto const still_open_connection = weak_connection.lock())
                 still_open_connection->close();
         });
--- a/libraries/net/framed_stream.hpp
+++ b/libraries/net/framed_stream.hpp
@@ -47,16 +47,22 @@
     std::shared_ptr<state> state_;
 };
 
+/// How a question ended. Without an answer, the exchange failed.
+struct framed_answer
+{
+    std::optional<std::string> content;
+    bool exceeds_limit = false; ///< The answer was too long, or there was no room for it.
+};
+
 /// Asks questions, each on its own connection.
 class framed_client
 {
 public:
     framed_client(event_loop& loop, framed_stream_limits limits);
 
-    /// Sends a question from the IP address `from` to `to`. Calls `handler` with the answer, or
-    /// with nothing if the exchange fails or exceeds a limit.
+    /// Sends a question from the IP address `from` to `to`. Calls `handler` when the exchange ends.
     void ask(address const& from, address const& to, std::string const& question,
-             std::function<void(std::optional<std::string>)> handler);
+             std::function<void(framed_answer const&)> handler);
 
 private:
     event_loop& loop_;
--- a/services/burdockstepd/peers/peers_task.cpp
+++ b/services/burdockstepd/peers/peers_task.cpp
@@ -206,22 +206,28 @@
     std::uint64_t const own_version = configuration_ ? configuration_->version.get() : 0;
     std::string const encoded_request =
         wire::encode(wire::state_request{.known_version = own_version});
-    state_request_client_.ask(context_.settings.peers, peer, encoded_request,
-                              [this](std::optional<std::string> const& bytes) {
-                                  if (!bytes)
-                                      return;
-                                  auto const process_answer = [&]() -> result<void> {
-                                      BOOST_LEAF_AUTO(message, wire::decode(*bytes));
-                                      if (auto const* const answer =
-                                              std::get_if<wire::state_answer>(&message))
-                                          process_state_answer(*answer);
-                                      return {};
-                                  };
-                                  handle_failure(process_answer, [&](failure const& error) {
-                                      log_.warning("dropped malformed state answer from a peer",
-                                                   {field("why", error.message)});
-                                  });
-                              });
+    auto const on_end = [this, peer](framed_answer const& answer) {
+        if (answer.exceeds_limit) {
+            log_.warning("a peer's answer exceeds a limit; the call counts as unanswered",
+                         {field("from", peer.text())});
+        }
+        if (answer.content)
+            process_encoded_answer(*answer.content);
+    };
+    state_request_client_.ask(context_.settings.peers, peer, encoded_request, on_end);
+}
+
+void peers_task::process_encoded_answer(std::string_view bytes)
+{
+    auto const process_answer = [&]() -> result<void> {
+        BOOST_LEAF_AUTO(message, wire::decode(bytes));
+        if (auto const* const answer = std::get_if<wire::state_answer>(&message))
+            process_state_answer(*answer);
+        return {};
+    };
+    handle_failure(process_answer, [&](failure const& error) {
+        log_.warning("dropped malformed state answer from a peer", {field("why", error.message)});
+    });
 }
 
 void peers_task::process_state_answer(wire::state_answer const& answer)
--- a/services/burdockstepd/peers/peers_task.hpp
+++ b/services/burdockstepd/peers/peers_task.hpp
@@ -33,6 +33,7 @@
     void send_probes(time_point now);
     wire::configuration_head own_head() const;
     void request_state(address const& peer);
+    void process_encoded_answer(std::string_view bytes);
     void process_state_answer(wire::state_answer const& answer);
     std::optional<std::string> answer_state_request(address const& sender,
                                                     std::string_view encoded_request);
--- a/tests/process/test_memory_daemon_peers.py
+++ b/tests/process/test_memory_daemon_peers.py
@@ -10,12 +10,15 @@
 from test_memory_endless import check_ordinary_calls_beside
 
 LARGEST_FRAME_BYTES = 6 * 2 ** 20
+LIMIT_LINE = "a peer's answer exceeds a limit"
 # Length, sent bytes of the frame, and what follows without end.
 PEER_ANSWERS = {
     "just-short-of-the-largest-frame": (LARGEST_FRAME_BYTES, LARGEST_FRAME_BYTES - 1, b""),
     "larger-frame": (2 ** 32 - 1, 0, b"f"),
     "no-message": (PIECE_BYTES, PIECE_BYTES, b"f"),
 }
+# Eight frames of the first kind are more than the peers' answers may take together.
+OVER_LIMIT_KINDS = {"just-short-of-the-largest-frame", "larger-frame"}
 
 
 class FaultyPeer:
@@ -53,6 +56,7 @@
 
     def __init__(self, binaries, kind):
         super().__init__(binaries, "no-http")
+        self.kind = kind
         self.platform_proxy.refused_path = "GET /instances"
         self.peers = [FaultyPeer(kind) for _ in range(8)]
         start_entry = self.deployment.start_entry
@@ -70,6 +74,9 @@
     await asyncio.sleep(5)
     await check_ordinary_calls_beside(site, crowd=[])
     check_was_reached(sum(each.sent_bytes for each in site.peers))
+    # Operators must be able to see why a peer's answer is missing.
+    tells_of_limit = LIMIT_LINE in site.deployment.entries["entry-1"].log.read_text()
+    assert tells_of_limit == (site.kind in OVER_LIMIT_KINDS), f"told of a limit: {tells_of_limit}"
 
 
 if __name__ == "__main__":
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -306,17 +306,25 @@
         if (listening)
             at = listening.value();
     }
+    auto const answer_to = [&](framed_client& asking, std::string const& question) {
+        std::optional<framed_answer> received_answer;
+        asking.ask(loopback_any_port(), at, question,
+                   [&](framed_answer const& answer) { received_answer = answer; });
+        run_until([&] { return received_answer.has_value(); });
+        return *received_answer;
+    };
     // One answer is read, however little answers may take together.
     framed_client questioner(shared_loop(), {.max_held_answer_bytes = 1});
     for (std::string const& question :
          {std::string("x"), std::string("refuse"), std::string(1'000, 'y')}) {
-        std::optional<std::optional<std::string>> received_answer;
-        questioner.ask(loopback_any_port(), at, question, [&](std::optional<std::string> answer) {
-            received_answer = std::move(answer);
-        });
-        run_until([&] { return received_answer.has_value(); });
-        CHECK((question == "x") == received_answer->has_value());
+        framed_answer const answer = answer_to(questioner, question);
+        CHECK((question == "x") == answer.content.has_value());
+        CHECK(!answer.exceeds_limit);
     }
+    framed_client brief_questioner(shared_loop(), {.max_answer_bytes = 4});
+    framed_answer const too_long = answer_to(brief_questioner, "x");
+    CHECK(!too_long.content.has_value());
+    CHECK(too_long.exceeds_limit);
 }
 
 TEST(http, exchange_is_in_flight_until_a_slow_caller_has_the_end_of_its_answer)
