Keep the digests of the registry, and change one when an upstream does

What operators would see: each update of the registry, some four a second, took processor time for all upstreams at every entry.

Cause: the digests of the 32 buckets were made anew from all upstreams with each update that was sent or received; and all upstreams' histories were searched for unused ones as often.

Change: an upstream's part of its bucket's digest is kept with its history, and replaced when that or its state changes. Histories are searched once a second; their number is limited as before, at once.

A unit test compares the kept digests after each kind of change with those of a registry that is told the same at once.

--- a/libraries/discovery/upstream_registry.cpp
+++ b/libraries/discovery/upstream_registry.cpp
@@ -189,7 +189,9 @@
     if (found == upstreams_.end())
         return;
     known_upstream& known = found->second;
-    if (histories_.at(name).history.is_registered()) {
+    remembered_history& remembered = histories_.at(name);
+    update_digest(known, remembered);
+    if (remembered.history.is_registered()) {
         missing_.erase(name);
         change_count_ += known.removed ? 1 : 0;
         known.removed = false;
@@ -267,9 +269,11 @@
         if (has_mass_loss[known.registration.service] && in_grace)
             return false;
         // The position is that of the copy that lacked it: it may have been written again since.
+        remembered_history& remembered = histories_.at(item.first);
         if (item.second.lost_with_history_at)
-            histories_.at(item.first).history.merge_removal(*item.second.lost_with_history_at);
-        if (histories_.at(item.first).history.is_registered())
+            remembered.history.merge_removal(*item.second.lost_with_history_at);
+        update_digest(known, remembered);
+        if (remembered.history.is_registered())
             return true;
         known.removed = true;
         known.removed_at = now;
@@ -363,10 +367,19 @@
 
 void upstream_registry::expire_histories(time_point now)
 {
-    std::erase_if(histories_, [&](auto const& item) {
-        bool const is_in_use = upstreams_.contains(item.first);
-        return !is_in_use && now - item.second.last_used > options_.history_retention;
-    });
+    bool const is_due = now - histories_expired_at_ >= options_.history_expiry_interval;
+    if (is_due) {
+        histories_expired_at_ = now;
+        std::erase_if(histories_, [&](auto const& item) {
+            bool const is_in_use = upstreams_.contains(item.first);
+            return !is_in_use && now - item.second.last_used > options_.history_retention;
+        });
+    }
+    evict_removed_histories();
+}
+
+void upstream_registry::evict_removed_histories()
+{
     std::size_t const limit = upstreams_.size() + options_.max_removed_histories;
     while (histories_.size() > limit) {
         auto const is_used_earlier = [&](auto const& left, auto const& right) {
--- a/libraries/discovery/upstream_registry.hpp
+++ b/libraries/discovery/upstream_registry.hpp
@@ -48,6 +48,8 @@
     /// The newest write and removal of an upstream are remembered for this time after the removal:
     /// longer than the store may perform a write late or may be away.
     duration history_retention = std::chrono::minutes(10);
+    /// Histories are searched for unused ones at most once in this time: it takes a look at each.
+    duration history_expiry_interval = std::chrono::seconds(1);
     /// Of more removed upstreams than this, those that were removed first are forgotten.
     std::size_t max_removed_histories = 4'096;
     /// The start that is known has ended when it writes nothing for this time while another start
@@ -91,7 +93,7 @@
     using bucket_digests = std::array<std::uint32_t, digest_buckets>;
     /// Returns a digest for each bucket of the upstreams that are registered and not draining, with
     /// their starts. It is the same at entries that know the same.
-    bucket_digests registered_digests() const;
+    bucket_digests const& registered_digests() const { return registered_digests_; }
     /// Returns the names of all upstreams in these buckets, removed ones too.
     std::vector<upstream_name> names_in(std::set<std::size_t> const& buckets) const;
     /// Starts the grace period for mass losses. Called when the store answers again after an
@@ -140,7 +142,8 @@
     struct remembered_history
     {
         upstream_history history;
-        time_point last_used; ///< When something of it was last read or told.
+        time_point last_used;     ///< When something of it was last read or told.
+        std::uint32_t digest = 0; ///< Its part in the digest of its bucket.
     };
 
     /// A start that writes registrations though a newer start is known.
@@ -165,11 +168,15 @@
                time_point now);
     /// Brings the upstream's state in line with its history.
     void settle(upstream_name const& name, time_point now);
+    /// Brings the digest of the upstream's bucket in line with its history and state.
+    void update_digest(known_upstream const& known, remembered_history& remembered);
     /// Returns true if the start of this registration, which is older than the known one by the
     /// clock, is the present one after all: it goes on writing, and the known one doesn't. A single
     /// write of a former start may be performed late.
     bool is_start_after_clock_step(upstream_registration const& registration, time_point now);
     void expire_histories(time_point now);
+    /// Forgets the removed upstreams that are one too many, those least recently used first.
+    void evict_removed_histories();
     void resolve_missing(time_point now);
     std::size_t count_missing(service_name const& service) const;
     std::size_t count_usable(service_name const& service) const;
@@ -182,6 +189,8 @@
     std::map<upstream_name, leaving_mark> leaving_marks_;
     std::map<upstream_name, disputed_start> disputed_starts_;
     std::set<place_name> evacuated_places_;
+    bucket_digests registered_digests_{};
+    time_point histories_expired_at_; ///< When histories were last searched for unused ones.
     time_point recovery_grace_end_;
     store_era era_;             ///< Of the last snapshot.
     bool has_snapshot_ = false; ///< The whole registry has been applied at least once.
--- a/libraries/discovery/upstream_registry_records.cpp
+++ b/libraries/discovery/upstream_registry_records.cpp
@@ -16,6 +16,13 @@
     return hash_of(name.get()) % upstream_registry::digest_buckets;
 }
 
+std::uint32_t digest_of_start(upstream_name const& name, upstream_history const& history)
+{
+    registration_write const& write = history.newest_write();
+    return static_cast<std::uint32_t>(
+        hash_of(name.get(), static_cast<std::uint64_t>(write.started_ms) + write.start_revision));
+}
+
 } // namespace
 
 void upstream_registry::merge_records(std::vector<upstream_record> const& records, time_point now)
@@ -60,19 +67,16 @@
     return records;
 }
 
-upstream_registry::bucket_digests upstream_registry::registered_digests() const
+void upstream_registry::update_digest(known_upstream const& known, remembered_history& remembered)
 {
-    bucket_digests digests{};
-    for (auto const& [name, known] : upstreams_) {
-        upstream_history const& history = histories_.at(name).history;
-        if (!history.is_registered() || known.registration.state == upstream_state::draining)
-            continue;
-        registration_write const& write = history.newest_write();
-        std::uint64_t const start_hash = hash_of(
-            name.get(), static_cast<std::uint64_t>(write.started_ms) + write.start_revision);
-        digests.at(digest_bucket_of(name)) ^= static_cast<std::uint32_t>(start_hash);
-    }
-    return digests;
+    upstream_name const& name = known.registration.name;
+    bool const is_counted =
+        remembered.history.is_registered() && known.registration.state != upstream_state::draining;
+    std::uint32_t const digest = is_counted ? digest_of_start(name, remembered.history) : 0;
+    if (digest == remembered.digest)
+        return;
+    registered_digests_.at(digest_bucket_of(name)) ^= remembered.digest ^ digest;
+    remembered.digest = digest;
 }
 
 std::vector<upstream_name> upstream_registry::names_in(std::set<std::size_t> const& buckets) const
--- a/tests/unit/registry_agreement_test.cpp
+++ b/tests/unit/registry_agreement_test.cpp
@@ -210,6 +210,57 @@
     LONGS_EQUAL(0, registry.names_in(all_buckets).size());
 }
 
+// Guards against a digest that is kept beside the upstreams and misses a change of them.
+TEST(registry_agreement, digests_follow_each_change)
+{
+    auto const is_in_digests = [&] {
+        upstream_registry told_once({}, {});
+        told_once.merge_records(reader.records_of({name}, now), now);
+        CHECK(reader.registered_digests() == told_once.registered_digests());
+        return reader.registered_digests() != upstream_registry::bucket_digests{};
+    };
+    registration_change restarted = write_at(at_version(3), 1);
+    restarted.registration->started_ms = 78;
+    registration_change draining = restarted;
+    draining.registration->heartbeat = 2;
+    draining.registration->state = upstream_state::draining;
+    draining.at = at_version(4);
+
+    CHECK(!is_in_digests());
+    reader.apply_snapshot({write_at(at_version(1), 1)}, now, at_version(1));
+    CHECK(is_in_digests());
+    auto const of_first_start = reader.registered_digests();
+    reader.apply_changes({write_at(at_version(2), 2)}, now);
+    CHECK(reader.registered_digests() == of_first_start);
+    reader.apply_changes({restarted}, now);
+    CHECK(is_in_digests());
+    CHECK(reader.registered_digests() != of_first_start);
+    reader.apply_changes({draining}, now);
+    CHECK(!is_in_digests());
+    restarted.registration->started_ms = 79;
+    restarted.at = at_version(5);
+    reader.apply_changes({restarted}, now);
+    CHECK(is_in_digests());
+    reader.apply_changes({removal_at(at_version(6))}, now);
+    CHECK(!is_in_digests());
+    restarted.registration->heartbeat = 2;
+    restarted.at = at_version(7);
+    reader.apply_changes({restarted}, now);
+    CHECK(is_in_digests());
+    // A restored copy lacks it, and it isn't written again.
+    store_position const restored = at_version(5, 2);
+    reader.apply_snapshot({}, now, restored);
+    CHECK(is_in_digests());
+    let_mass_loss_grace_pass();
+    now += std::chrono::seconds(3);
+    reader.expire(now);
+    CHECK(!is_in_digests());
+    now += std::chrono::seconds(31);
+    reader.expire(now);
+    CHECK(reader.upstreams().empty());
+    CHECK(!is_in_digests());
+}
+
 // Guards against entries that use an upstream which has left, or don't use one that runs, after any
 // order of writes, late writes, removals, restored copies, restarts, and lost, repeated or late
 // messages.
