Tell the end of an upstream's cold time once, not with each heartbeat

Cause: a row with any cold time counted as news. Each heartbeat of a cold upstream has some, so two seconds after 211 upstreams had started all of them were told again, twice. An update that large has no room, and all 295 entries read the store. Each also handed all upstreams to its engine anew.

Change: a row is news if it reports another end of the cold time than the rows before it, by over half a second. A reader's own knowledge from health answers doesn't count, since the others may not have it.

--- a/libraries/discovery/registry_update.cpp
+++ b/libraries/discovery/registry_update.cpp
@@ -163,14 +163,14 @@
 
 std::vector<registration_change>
 significant_changes(upstream_registry const& registry,
-                    std::vector<registration_change> const& changes)
+                    std::vector<registration_change> const& changes, time_point now)
 {
     std::map<upstream_name, registration_change const*> latest_changes;
     for (registration_change const& each : changes)
         latest_changes[each.name] = &each;
     std::vector<registration_change> announced;
     for (auto const& [name, change] : latest_changes) {
-        if (registry.is_significant_change(*change))
+        if (registry.is_significant_change(*change, now))
             announced.push_back(*change);
     }
     return announced;
@@ -178,9 +178,9 @@
 
 std::vector<registration_change>
 snapshot_differences(upstream_registry const& registry,
-                     std::vector<registration_change> const& snapshot)
+                     std::vector<registration_change> const& snapshot, time_point now)
 {
-    std::vector<registration_change> changes = significant_changes(registry, snapshot);
+    std::vector<registration_change> changes = significant_changes(registry, snapshot, now);
     std::set<upstream_name> present_names;
     for (registration_change const& each : snapshot)
         present_names.insert(each.name);
--- a/libraries/discovery/registry_update.hpp
+++ b/libraries/discovery/registry_update.hpp
@@ -31,14 +31,14 @@
 /// would revert the latest one at its receivers.
 std::vector<registration_change>
 significant_changes(upstream_registry const& registry,
-                    std::vector<registration_change> const& changes);
+                    std::vector<registration_change> const& changes, time_point now);
 
 /// Returns the significant changes that lead from `registry` to `snapshot`, the content of the
 /// whole registry. They are for entries with the same state as `registry` when the store no longer
 /// has the history of changes.
 std::vector<registration_change>
 snapshot_differences(upstream_registry const& registry,
-                     std::vector<registration_change> const& snapshot);
+                     std::vector<registration_change> const& snapshot, time_point now);
 
 /// Returns the names of the upstreams that these changes concern.
 std::vector<upstream_name> names_of(std::vector<registration_change> const& changes);
--- a/libraries/discovery/upstream_registry.cpp
+++ b/libraries/discovery/upstream_registry.cpp
@@ -76,7 +76,8 @@
     resolve_missing(now);
 }
 
-bool upstream_registry::is_significant_change(registration_change const& change) const
+bool upstream_registry::is_significant_change(registration_change const& change,
+                                              time_point now) const
 {
     auto const remembered = histories_.find(change.name);
     if (remembered == histories_.end())
@@ -88,11 +89,23 @@
     if (found == upstreams_.end() || !history.is_registered() || missing_.contains(change.name))
         return true;
     upstream_registration const& known = found->second.registration;
-    upstream_registration const& now = *change.registration;
-    bool const is_cold = now.cold_left > duration::zero();
+    upstream_registration const& received = *change.registration;
     bool const is_disputed = disputed_starts_.contains(change.name);
-    return is_cold || is_disputed || order_of_starts(known, now) != start_order::same ||
-           now.state != known.state || now.slots != known.slots || now.place != known.place;
+    return is_disputed || changes_cold_end(found->second, received, now) ||
+           order_of_starts(known, received) != start_order::same || received.state != known.state ||
+           received.slots != known.slots || received.place != known.place;
+}
+
+bool upstream_registry::changes_cold_end(known_upstream const& known,
+                                         upstream_registration const& registration,
+                                         time_point now) const
+{
+    if (registration.cold_left <= duration::zero())
+        return false;
+    if (!known.reported_cold_until)
+        return true;
+    duration const difference = now + registration.cold_left - *known.reported_cold_until;
+    return std::chrono::abs(difference) > options_.cold_end_tolerance;
 }
 
 upstream_history& upstream_registry::history_of(upstream_name const& name, time_point now)
@@ -164,6 +177,7 @@
                  .region = region == regions_by_place_.end() ? region_name{} : region->second,
                  .first_seen = now,
                  .cold_until = {},
+                 .reported_cold_until = {},
                  .removed_at = {}};
         known.evacuated = evacuated_places_.contains(registration.place);
         known.draining = has_leaving_mark(registration);
@@ -174,12 +188,14 @@
     if (reports_draining)
         keep_leaving_mark(registration.name, registration.incarnation(), now);
     known.draining = known.draining || reports_draining;
-    bool const is_cold = registration.cold_left > duration::zero();
-    if (is_cold)
+    bool const has_new_cold_end = changes_cold_end(known, registration, now);
+    if (has_new_cold_end) {
         known.cold_until = now + registration.cold_left;
+        known.reported_cold_until = known.cold_until;
+    }
     bool const slots_changed = known.registration.slots != registration.slots;
     known.registration = registration;
-    if (was_usable != known.is_usable() || slots_changed || is_cold)
+    if (was_usable != known.is_usable() || slots_changed || has_new_cold_end)
         ++change_count_;
 }
 
--- a/libraries/discovery/upstream_registry.hpp
+++ b/libraries/discovery/upstream_registry.hpp
@@ -23,6 +23,7 @@
     region_name region;
     time_point first_seen;
     time_point cold_until;
+    std::optional<time_point> reported_cold_until; ///< By its registration; may be past.
     bool draining = false; ///< Reported by itself or by a peer; final for this incarnation.
     bool removed = false;  ///< Its registration is gone.
     time_point removed_at;
@@ -60,6 +61,9 @@
     /// upstreams stay usable for `mass_loss_grace`.
     double mass_loss_fraction = 0.6;
     duration mass_loss_grace = std::chrono::milliseconds(1'000);
+    /// Each registration of a cold upstream repeats when it will be warm, and is read sooner or
+    /// later. Times that differ by no more than this are the same: longer than a reader's interval.
+    duration cold_end_tolerance = std::chrono::milliseconds(500);
 };
 
 /// Tracks the state of all upstreams. Once an incarnation drains, it never becomes usable again.
@@ -80,9 +84,9 @@
     /// Applies what another entry knows. The records may be old, repeated or in any order.
     void merge_records(std::vector<upstream_record> const& records, time_point now);
     /// Returns true when other entries must be told of a change: it carries more than a new
-    /// heartbeat of a known upstream or the removal of an unknown one. While an upstream is cold,
-    /// or two starts of it write, all its heartbeats count.
-    bool is_significant_change(registration_change const& change) const;
+    /// heartbeat of a known upstream or the removal of an unknown one. While two starts of an
+    /// upstream write, all its heartbeats count.
+    bool is_significant_change(registration_change const& change, time_point now) const;
     /// Returns what is known of these upstreams, ready to be sent to other entries. Upstreams of
     /// which nothing is known are left out.
     std::vector<upstream_record> records_of(std::vector<upstream_name> const& names,
@@ -154,6 +158,10 @@
         time_point since;
     };
 
+    /// Returns true if a registration that is read now reports another end of the cold time than
+    /// the registrations before it. What else is known of it doesn't count: others may not know it.
+    bool changes_cold_end(known_upstream const& known, upstream_registration const& registration,
+                          time_point now) const;
     /// Returns true if this incarnation, whose start is known, was reported as leaving.
     bool has_leaving_mark(upstream_registration const& registration) const;
     void keep_leaving_mark(upstream_name const& name, upstream_incarnation incarnation,
--- a/services/burdockstep_gateway/discovery/registrations_reader.cpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.cpp
@@ -132,8 +132,8 @@
 {
     time_point const now = context_.clock.now();
     std::vector<upstream_name> const changed =
-        names_of(is_full_read ? snapshot_differences(registry_, answer.content)
-                              : significant_changes(registry_, answer.content));
+        names_of(is_full_read ? snapshot_differences(registry_, answer.content, now)
+                              : significant_changes(registry_, answer.content, now));
     bool const is_announced_by_differences = std::exchange(history_truncated_, false);
     bool const continues_known_position =
         answer.position.era == position_.era && (!is_full_read || is_announced_by_differences);
--- a/tests/fakes/registry_network.cpp
+++ b/tests/fakes/registry_network.cpp
@@ -178,8 +178,8 @@
 {
     bool const reads_all = reader.position.era != rows_.position().era;
     auto const content = reads_all ? rows_.all() : rows_.changes_after(reader.position);
-    auto const changed = names_of(reads_all ? snapshot_differences(reader.registry, content)
-                                            : significant_changes(reader.registry, content));
+    auto const changed = names_of(reads_all ? snapshot_differences(reader.registry, content, now_)
+                                            : significant_changes(reader.registry, content, now_));
     if (reads_all)
         reader.registry.apply_snapshot(content, now_, rows_.position());
     else
--- a/tests/unit/registry_agreement_test.cpp
+++ b/tests/unit/registry_agreement_test.cpp
@@ -46,7 +46,7 @@
     /// Lets the reader read one change and tell it, if it is significant.
     void read(registration_change const& change)
     {
-        auto const changed = names_of(significant_changes(reader, {change}));
+        auto const changed = names_of(significant_changes(reader, {change}, now));
         reader.apply_changes({change}, now);
         told.merge_records(reader.records_of(changed, now), now);
     }
@@ -115,6 +115,43 @@
     }
 }
 
+// Guards against an update for each heartbeat of upstreams that have just been started: with many
+// of them it has no room, and all entries read the store.
+TEST(registry_agreement, heartbeats_that_repeat_the_end_of_the_cold_time_are_not_told)
+{
+    read_by_both(write_at(at_version(1), 1, ms(3'000)));
+    std::uint64_t const changes_before = reader.changes();
+    // The first is read sooner after it was written than the one before, the next one later.
+    for (duration const cold_left : {ms(2'100), ms(900)}) {
+        now += ms(1'000);
+        auto const repeated = write_at(at_version(2), 2, cold_left);
+        CHECK(!reader.is_significant_change(repeated, now));
+        read(repeated);
+    }
+    LONGS_EQUAL(changes_before, reader.changes());
+    CHECK(reader.upstreams().at(name).cold_until == now + ms(1'000));
+}
+
+TEST(registry_agreement, cold_time_that_grows_by_little_at_a_time_is_told)
+{
+    time_point const first_end = now + ms(3'000);
+    read_by_both(write_at(at_version(1), 1, ms(3'000)));
+    read(write_at(at_version(2), 2, ms(3'400)));
+    CHECK(told.upstreams().at(name).cold_until == first_end);
+    read(write_at(at_version(3), 3, ms(3'800)));
+    CHECK(told.upstreams().at(name).cold_until == first_end + ms(800));
+}
+
+// Guards against an entry that knows from a health answer what its registration then says too, and
+// keeps it from the others.
+TEST(registry_agreement, cold_time_that_only_the_reader_knows_of_is_told)
+{
+    read_by_both(write_at(at_version(1), 1));
+    reader.mark_cold(name, ms(3'000), now);
+    read(write_at(at_version(2), 2, ms(3'000)));
+    CHECK(told.upstreams().at(name).cold_until == now + ms(3'000));
+}
+
 TEST(registry_agreement, repeated_record_does_not_prolong_a_cold_start)
 {
     read_by_both(write_at(at_version(1), 1));
--- a/tests/unit/registry_update_test.cpp
+++ b/tests/unit/registry_update_test.cpp
@@ -164,8 +164,8 @@
         {change_for_upstream(1), change_for_upstream(2), change_for_upstream(3)}, start_time());
     registration_change draining = change_for_upstream(2);
     draining.registration->state = upstream_state::draining;
-    auto const changes =
-        snapshot_differences(registry, {change_for_upstream(1), draining, change_for_upstream(4)});
+    auto const changes = snapshot_differences(
+        registry, {change_for_upstream(1), draining, change_for_upstream(4)}, start_time());
     LONGS_EQUAL(3, changes.size());
     CHECK(changes[0].registration == draining.registration);
     CHECK(changes[1].registration == change_for_upstream(4).registration);
@@ -180,15 +180,15 @@
     registry.apply_snapshot({change_for_upstream(1), change_for_upstream(2)}, now);
     auto heartbeat_change = change_for_upstream(1);
     ++heartbeat_change.registration->heartbeat;
-    CHECK(!registry.is_significant_change(heartbeat_change));
+    CHECK(!registry.is_significant_change(heartbeat_change, now));
     heartbeat_change.registration->state = upstream_state::draining;
-    CHECK(registry.is_significant_change(heartbeat_change));
+    CHECK(registry.is_significant_change(heartbeat_change, now));
     auto cold_change = change_for_upstream(1);
     cold_change.registration->cold_left = ms(10);
-    CHECK(registry.is_significant_change(cold_change));
-    CHECK(registry.is_significant_change(change_for_upstream(3)));
-    CHECK(registry.is_significant_change({.name = upstream_name("u1"), .registration = {}}));
-    CHECK(!registry.is_significant_change({.name = upstream_name("u9"), .registration = {}}));
+    CHECK(registry.is_significant_change(cold_change, now));
+    CHECK(registry.is_significant_change(change_for_upstream(3), now));
+    CHECK(registry.is_significant_change({.name = upstream_name("u1"), .registration = {}}, now));
+    CHECK(!registry.is_significant_change({.name = upstream_name("u9"), .registration = {}}, now));
 }
 
 TEST(registry_update_message, only_the_latest_state_of_an_upstream_is_announced)
@@ -201,8 +201,9 @@
     registration_change const removal{.name = upstream_name("u1"), .registration = {}};
     auto heartbeat_change = change_for_upstream(1);
     ++heartbeat_change.registration->heartbeat;
-    LONGS_EQUAL(1, significant_changes(registry, {heartbeat_change, removal}).size());
-    CHECK(!significant_changes(registry, {heartbeat_change, removal})[0].registration.has_value());
+    LONGS_EQUAL(1, significant_changes(registry, {heartbeat_change, removal}, now).size());
+    CHECK(!significant_changes(registry, {heartbeat_change, removal}, now)[0]
+               .registration.has_value());
     registry.apply_changes({removal}, now);
-    LONGS_EQUAL(0, significant_changes(registry, {heartbeat_change, removal}).size());
+    LONGS_EQUAL(0, significant_changes(registry, {heartbeat_change, removal}, now).size());
 }
--- a/tests/unit/upstream_registry_test.cpp
+++ b/tests/unit/upstream_registry_test.cpp
@@ -105,12 +105,12 @@
 {
     registry.apply_snapshot({registered_by_start(200, 40, upstream_state::draining)}, now);
     for (std::int64_t heartbeat = 1; heartbeat <= 5; ++heartbeat) {
-        CHECK(registry.is_significant_change(registered_by_start(100, heartbeat)));
+        CHECK(registry.is_significant_change(registered_by_start(100, heartbeat), now));
         registry.apply_changes({registered_by_start(100, heartbeat)}, now);
         now += ms(1'500);
     }
     CHECK(upstream_is_usable(1));
-    CHECK(!registry.is_significant_change(registered_by_start(100, 6)));
+    CHECK(!registry.is_significant_change(registered_by_start(100, 6), now));
 }
 
 // Guards against a removed upstream that comes back by a late write of a former start.
@@ -127,11 +127,11 @@
 TEST(upstream_registry, write_of_the_newer_start_after_a_former_one_is_significant)
 {
     registry.apply_snapshot({registered_by_start(200, 1)}, now);
-    CHECK(!registry.is_significant_change(registered_by_start(200, 2)));
+    CHECK(!registry.is_significant_change(registered_by_start(200, 2), now));
     registry.apply_changes({registered_by_start(100, 41)}, now);
-    CHECK(registry.is_significant_change(registered_by_start(200, 2)));
+    CHECK(registry.is_significant_change(registered_by_start(200, 2), now));
     registry.apply_changes({registered_by_start(200, 2)}, now);
-    CHECK(!registry.is_significant_change(registered_by_start(200, 3)));
+    CHECK(!registry.is_significant_change(registered_by_start(200, 3), now));
 }
 
 TEST(upstream_registry, upstream_without_registration_is_unusable_at_once)
