--- a/tests/unit/endless_answer_test.cpp
+++ b/tests/unit/endless_answer_test.cpp
@@ -45,9 +45,10 @@
     }
 
     /// Calls a server that sends `start` once and then `part` without end. Returns nothing if the
-    /// call hasn't ended by itself after three seconds.
-    std::optional<http1::call_end> call_endless_server(std::string const& start,
-                                                       std::string const& part)
+    /// call hasn't ended by itself after this time.
+    std::optional<http1::call_end> call_endless_server(
+        std::string const& start, std::string const& part,
+        duration time_limit = std::chrono::seconds(3))
     {
         endless_server const server(start, part);
         std::optional<http1::call_end> end;
@@ -59,16 +60,16 @@
                           end = result.end;
                           loop.stop();
                       });
-        run_loop_for_three_seconds();
+        run_loop(time_limit);
         client.reset();
         return end;
     }
 
-    /// Runs the loop until it is stopped, at most three seconds.
-    void run_loop_for_three_seconds()
+    /// Runs the loop until it is stopped, at most for the time limit.
+    void run_loop(duration time_limit = std::chrono::seconds(3))
     {
-        timer time_limit(loop);
-        time_limit.start_once(std::chrono::seconds(3), [&] { loop.stop(); });
+        timer time_limit_timer(loop);
+        time_limit_timer.start_once(time_limit, [&] { loop.stop(); });
         loop.run();
     }
 };
@@ -119,6 +120,18 @@
     CHECK(end_of_call(start + repeated("1\r\nc\r\n", 1'000) + end) == http1::call_end::complete);
 }
 
+// Guards against a limit on framing that breaks an answer of the largest size.
+TEST(endless_answer, largest_body_in_chunks_of_half_a_kib_is_complete)
+{
+    client = std::make_unique<http1::client>(loop, clock, http1::client_limits{});
+    std::size_t const chunks = 2 * http1::client_limits{}.max_body_bytes / bytes_per_kib;
+    std::string const chunk = "200\r\n" + std::string(bytes_per_kib / 2, 'b') + "\r\n";
+    std::string const answer = std::string(head_with_own_id) +
+                               "Transfer-Encoding: chunked\r\n\r\n" + repeated(chunk, chunks) +
+                               "0\r\n\r\n";
+    CHECK(call_endless_server(answer, "x", std::chrono::seconds(30)) == http1::call_end::complete);
+}
+
 TEST(endless_answer, reason_phrase_without_end_ends_the_call)
 {
     CHECK(call_endless_server("HTTP/1.1 200 ", repeated("OK ", 1'000)) == http1::call_end::broken);
@@ -185,7 +198,7 @@
                       end = result.end;
                       loop.stop();
                   });
-    run_loop_for_three_seconds();
+    run_loop();
     client.reset();
     CHECK(end == http1::call_end::broken);
 }
@@ -207,7 +220,7 @@
         fast_end = result.end;
         loop.stop();
     });
-    run_loop_for_three_seconds();
+    run_loop();
     LONGS_EQUAL(1, client->counters().answers_dropped_for_memory);
     client.reset();
     CHECK(fast_end == http1::call_end::broken);
@@ -229,7 +242,7 @@
             client->cancel(call);
             loop.stop();
         });
-        run_loop_for_three_seconds();
+        run_loop();
     }
     endless_server const server(start, "b", ms(5));
     bool ended = false;
