Bound what a daemon holds of answers to peers that don't read

What operators would see: a daemon of 64 MB that grows to 196 MB, and to 317 MB with its sockets' queues, when 48 peers ask for a document of 3.5 MB at the same time and take their time to read it.

Cause: each answer is encoded and held until its peer has taken it or the exchange's five seconds have passed. Only the number of connections was limited.

Change: a framed_server counts what its connections hold to be sent, as framed_client counts what arrives, with the same limit: an eighth of memory_mb, and one answer always. Further questions are closed and asked again.

The gateway doesn't use these streams.

--- a/libraries/net/framed_stream.cpp
+++ b/libraries/net/framed_stream.cpp
@@ -55,7 +55,12 @@
         tcp_.data = this;
     }
 
-    ~frame_connection() { *held_bytes_ -= received_bytes_.size(); }
+    ~frame_connection()
+    {
+        *held_bytes_ -= received_bytes_.size();
+        if (held_sent_bytes_)
+            *held_sent_bytes_ -= frame_to_send_.size();
+    }
     frame_connection(frame_connection const&) = delete;
     frame_connection& operator=(frame_connection const&) = delete;
 
@@ -103,9 +108,18 @@
             close();
     }
 
-    void write_frame(std::string_view content, bool close_after)
+    /// Writes one frame and closes the connection. `held_sent_bytes` counts what this connection
+    /// and others hold of frames that their peers haven't taken.
+    void write_last_frame(std::string_view content, std::shared_ptr<std::size_t> held_sent_bytes)
+    {
+        close_after_write_ = true;
+        write_frame(content);
+        held_sent_bytes_ = std::move(held_sent_bytes);
+        *held_sent_bytes_ += frame_to_send_.size();
+    }
+
+    void write_frame(std::string_view content)
     {
-        close_after_write_ = close_after;
         frame_to_send_ = encode_frame(content);
         write_request_.data = this;
         uv_buf_t const buffer =
@@ -177,6 +191,7 @@
     std::array<char, read_buffer_bytes> read_buffer_{};
     std::string received_bytes_;
     std::string frame_to_send_;
+    std::shared_ptr<std::size_t> held_sent_bytes_; ///< Null while nothing is counted.
     std::function<void(std::string_view)> frame_handler_;
     std::function<void(bool)> connect_handler_;
     std::function<void()> close_handler_;
@@ -217,17 +232,24 @@
                 if (!live_connection)
                     return;
                 auto const reply = self->answer(from, question);
-                if (reply)
-                    live_connection->write_frame(*reply, true);
+                if (reply && self->has_room_for(*reply))
+                    live_connection->write_last_frame(*reply, self->held_answer_bytes);
                 else
                     live_connection->close();
             });
     }
 
+    bool has_room_for(std::string const& reply) const
+    {
+        bool const is_only_one = *held_answer_bytes == 0;
+        return is_only_one || *held_answer_bytes + reply.size() <= limits.max_held_answer_bytes;
+    }
+
     event_loop& loop;
     framed_stream_limits limits;
     answer_provider answer;
     std::shared_ptr<std::size_t> held_question_bytes = std::make_shared<std::size_t>(0);
+    std::shared_ptr<std::size_t> held_answer_bytes = std::make_shared<std::size_t>(0);
     uv_tcp_t listener{};
     /// Keeps the state alive until the listener handle has closed.
     std::shared_ptr<state> self_reference;
@@ -319,7 +341,7 @@
             if (auto const still_open_connection = weak_connection.lock())
                 still_open_connection->close();
         });
-        live_connection->write_frame(pending->question, false);
+        live_connection->write_frame(pending->question);
     });
 }
 
--- a/libraries/net/framed_stream.hpp
+++ b/libraries/net/framed_stream.hpp
@@ -22,7 +22,8 @@
     std::size_t max_answer_bytes = std::size_t{6} * 1024 * 1024;
     duration exchange_timeout = std::chrono::seconds(5);
     std::size_t max_connections = 64;
-    /// Answers that arrive at the same time may take this much together. One is always read.
+    /// Answers that a client receives, or a server sends, at the same time may take this much
+    /// together. One is always read or sent; a server closes the connections of further questions.
     std::size_t max_held_answer_bytes = std::numeric_limits<std::size_t>::max();
 };
 
