Forget removed upstreams in one pass

Cause: of more than 4,096 removed upstreams each further one was searched for among all histories, with two look-ups a comparison. Found by reading the code while a limit for registrations was looked for.

Change: those that are one too many are found together, in one pass.

--- a/libraries/discovery/upstream_registry.cpp
+++ b/libraries/discovery/upstream_registry.cpp
@@ -1,7 +1,6 @@
 #include "libraries/discovery/upstream_registry.hpp"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace burdockstep {
@@ -397,15 +396,20 @@
 void upstream_registry::evict_removed_histories()
 {
     std::size_t const limit = upstreams_.size() + options_.max_removed_histories;
-    while (histories_.size() > limit) {
-        auto const is_used_earlier = [&](auto const& left, auto const& right) {
-            bool const left_in_use = upstreams_.contains(left.first);
-            bool const right_in_use = upstreams_.contains(right.first);
-            return std::tuple(left_in_use, left.second.last_used) <
-                   std::tuple(right_in_use, right.second.last_used);
-        };
-        histories_.erase(std::min_element(histories_.begin(), histories_.end(), is_used_earlier));
+    if (histories_.size() <= limit)
+        return;
+    using position = std::map<upstream_name, remembered_history>::iterator;
+    std::vector<position> removed;
+    for (position each = histories_.begin(); each != histories_.end(); ++each) {
+        if (!upstreams_.contains(each->first))
+            removed.push_back(each);
     }
+    auto const first_kept =
+        removed.begin() + static_cast<std::ptrdiff_t>(histories_.size() - limit);
+    std::nth_element(removed.begin(), first_kept, removed.end(), [](position left, position right) {
+        return left->second.last_used < right->second.last_used;
+    });
+    std::for_each(removed.begin(), first_kept, [&](position each) { histories_.erase(each); });
 }
 
 } // namespace burdockstep
