Bound the number of upstreams that an entry takes up

What callers would see: a store that answers well, but with registrations of further upstreams without end, makes the gateway's memory grow until it ends, and with it the requests of all its callers.

Cause: each answer of the store is bounded, what the registry remembers of them wasn't.

Those that are known stay up to date, and one that leaves makes room. What is refused is counted (burdockstep_registrations_refused_total) and logged. Peers' records obey the same limit.

The other fault of the store in that test, pages without end, is as before: its stand-in was divided to serve both.

--- a/libraries/discovery/upstream_registry.cpp
+++ b/libraries/discovery/upstream_registry.cpp
@@ -107,6 +107,14 @@
     return std::chrono::abs(difference) > options_.cold_end_tolerance;
 }
 
+bool upstream_registry::try_take_up(upstream_name const& name)
+{
+    if (upstreams_.size() < options_.max_upstreams || upstreams_.contains(name))
+        return true;
+    ++refused_registrations_;
+    return false;
+}
+
 upstream_history& upstream_registry::history_of(upstream_name const& name, time_point now)
 {
     remembered_history& remembered = histories_[name];
@@ -116,6 +124,8 @@
 
 void upstream_registry::apply_write(registration_change const& change, time_point now)
 {
+    if (!try_take_up(change.name))
+        return;
     upstream_registration const& registration = *change.registration;
     upstream_history& history = history_of(change.name, now);
     registration_write received{.started_ms = registration.started_ms,
--- a/libraries/discovery/upstream_registry.hpp
+++ b/libraries/discovery/upstream_registry.hpp
@@ -8,6 +8,7 @@
 #include "libraries/discovery/upstream_registration.hpp"
 
 #include <array>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -53,6 +54,8 @@
     duration history_expiry_interval = std::chrono::seconds(1);
     /// Of more removed upstreams than this, those that were removed first are forgotten.
     std::size_t max_removed_histories = 4'096;
+    /// Further upstreams aren't taken up, so that registrations without end don't end the process.
+    std::size_t max_upstreams = std::numeric_limits<std::size_t>::max();
     /// The start that is known has ended when it writes nothing for this time while another start
     /// writes: several intervals in which a live upstream writes.
     duration silence_of_ended_start = std::chrono::seconds(6);
@@ -122,6 +125,9 @@
     std::size_t count_usable() const;
     /// Number of usable upstreams that are cold.
     std::size_t count_cold(time_point now) const;
+    /// Counts the registrations so far that weren't taken up because of `max_upstreams`.
+    std::uint64_t refused_registrations() const { return refused_registrations_; }
+    std::size_t max_upstreams() const { return options_.max_upstreams; }
     /// Counts the changes so far: new and restarted upstreams, changes of which ones are usable or
     /// of their slots, reports that one is cold, and changed evacuations.
     std::uint64_t changes() const { return change_count_; }
@@ -166,6 +172,8 @@
     bool has_leaving_mark(upstream_registration const& registration) const;
     void keep_leaving_mark(upstream_name const& name, upstream_incarnation incarnation,
                            time_point now);
+    /// Returns true if it is known or may be taken up. Counts it if it may not.
+    bool try_take_up(upstream_name const& name);
     upstream_history& history_of(upstream_name const& name, time_point now);
     void apply_write(registration_change const& change, time_point now);
     void apply_removal(upstream_name const& name, store_position at, time_point now);
@@ -203,6 +211,7 @@
     store_era era_;             ///< Of the last snapshot.
     bool has_snapshot_ = false; ///< The whole registry has been applied at least once.
     std::uint64_t change_count_ = 1;
+    std::uint64_t refused_registrations_ = 0;
 };
 
 } // namespace burdockstep
--- a/libraries/discovery/upstream_registry_records.cpp
+++ b/libraries/discovery/upstream_registry_records.cpp
@@ -29,6 +29,8 @@
 {
     for (upstream_record const& each : records) {
         upstream_name const& name = each.registration.name;
+        if (each.is_registered() && !try_take_up(name))
+            continue;
         upstream_history& history = history_of(name, now);
         if (each.removed_at)
             history.merge_removal(*each.removed_at);
--- a/services/burdockstep_gateway/discovery/registrations_reader.cpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -14,13 +15,27 @@
 
 /// After a start the readers begin to send updates once they know the other entries.
 constexpr duration first_update_delay = std::chrono::milliseconds(2'000);
+/// Upstreams may take this part of the process's memory.
+constexpr std::size_t upstreams_memory_divisor = 4;
+/// What an upstream takes in the registry, in its copies for other tasks and in the engine.
+constexpr std::size_t bytes_per_upstream = std::size_t{2} * 1024;
+/// More than the largest deployment has, however little memory the process may use.
+constexpr std::size_t min_upstreams_limit = 8'192;
+
+std::size_t max_upstreams(gateway_settings const& settings)
+{
+    std::size_t const with_room =
+        settings.memory_bytes / upstreams_memory_divisor / bytes_per_upstream;
+    return std::max(with_room, min_upstreams_limit);
+}
 
 } // namespace
 
 registrations_reader::registrations_reader(gateway_context& context, discovery_store& store_client,
                                            store_monitor& monitor, reader_callbacks callbacks)
     : context_(context), store_client_(store_client), store_monitor_(monitor),
-      callbacks_(std::move(callbacks)), registry_({}, context.settings.places),
+      callbacks_(std::move(callbacks)),
+      registry_({.max_upstreams = max_upstreams(context.settings)}, context.settings.places),
       read_timer_(context.loop), repair_({})
 {}
 
@@ -122,6 +137,7 @@
     }
     registry_.expire(context_.clock.now());
     publish_upstreams();
+    report_refused_registrations();
     if (answer.status == discovery_store_status::done && use == answer_use::apply)
         context_.post(registry_refreshed{});
     schedule_read(delay);
@@ -212,12 +228,25 @@
 
 void registrations_reader::write_metrics(std::string& out) const
 {
+    fmt::format_to(std::back_inserter(out), "burdockstep_registrations_refused_total {}\n",
+                   registry_.refused_registrations());
     fmt::format_to(std::back_inserter(out), "burdockstep_registry_differences_total {}\n",
                    repair_.differences());
     fmt::format_to(std::back_inserter(out), "burdockstep_registry_questions_answered_total {}\n",
                    repair_.questions_answered());
 }
 
+void registrations_reader::report_refused_registrations()
+{
+    std::uint64_t const refused = registry_.refused_registrations();
+    if (refused == std::exchange(reported_refusals_, refused))
+        return;
+    log_.error(
+        "more upstreams are registered than this entry has memory for; further ones aren't "
+        "used; raise memory_mb or find out who registers them",
+        {field("known", registry_.upstreams().size()), field("limit", registry_.max_upstreams())});
+}
+
 void registrations_reader::publish_upstreams()
 {
     if (registry_.changes() == published_changes_)
--- a/services/burdockstep_gateway/discovery/registrations_reader.hpp
+++ b/services/burdockstep_gateway/discovery/registrations_reader.hpp
@@ -64,6 +64,7 @@
     void write_metrics(std::string& out) const;
 
 private:
+    void report_refused_registrations();
     void start_read();
     void handle_answer(discovery_store_answer<std::vector<registration_change>> const& answer,
                        bool is_full_read);
@@ -82,6 +83,7 @@
     registry_repair repair_;
     store_position position_;
     std::uint64_t published_changes_ = 0;
+    std::uint64_t reported_refusals_ = 0;
     bool is_registry_reader_ = false;
     bool has_received_update_ = false;
     bool has_full_registry_ = false;
--- a/tests/process/test_memory_store.py
+++ b/tests/process/test_memory_store.py
@@ -1,5 +1,7 @@
 """The platform's store answers a gateway with bytes, or with pages, without end. The gateway lives, holds
 little, and serves by what it knows."""
+import asyncio
+import base64
 import json
 import sys
 
@@ -8,7 +10,12 @@
 from test_memory_endless import check_ordinary_calls_beside
 
 PAGES = "pages"
+REGISTRATIONS = "registrations"
 ROWS_PER_PAGE = 500
+# As many as an answer may have bytes for, not as the store's pages promise.
+REGISTRATIONS_PER_PAGE = 8_000
+# An entry asks for what has changed a few times a second.
+REGISTERING_TIME_S = 8
 # Rows as large as the store allows for a page of a megabyte.
 ROW_VALUE = "eA==" + "e" * 1400
 
@@ -16,33 +23,57 @@
 class PagingStore(FaultyStore):
     """Its fault: behind each page of new rows, there are always more."""
 
+    era = 9
+
     def __init__(self):
         super().__init__("no-http")
         self.pages = 0
 
     async def serve_fault(self, reader, writer):
-        while await reader.readuntil(b"\r\n\r\n"):
-            self.write_page(writer)
+        while request := await reader.readuntil(b"\r\n\r\n"):
+            self.write_page(writer, *self.rows_for(request))
             await writer.drain()
 
-    def write_page(self, writer):
+    def rows_for(self, _):
+        """Returns rows and the store's version that they bring the reader to."""
         self.pages += 1
-        rows = [{"table": "servers", "part": "", "key": f"k{self.pages:06}-{number:03}",
-                 "value": ROW_VALUE, "schemaVersion": 10 ** 6 + self.pages} for number in
-                range(ROWS_PER_PAGE)]
-        body = json.dumps({"rows": rows, "hasMore": True, "schemaVersion": 10 ** 9,
-                           "nowMs": 1}).encode()
-        writer.write(b"HTTP/1.1 200 OK\r\nStore-Era: 9\r\nContent-Type: application/json\r\n"
-                     b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        return self.rows("k", ROWS_PER_PAGE, ROW_VALUE), 10 ** 9
+
+    def rows(self, name, count, value):
+        return [{"table": "servers", "part": "", "key": f"{name}{self.pages:06}-{number:05}",
+                 "value": value, "schemaVersion": 10 ** 6 + self.pages} for number in range(count)]
+
+    def write_page(self, writer, rows, version):
+        body = json.dumps({"rows": rows, "hasMore": bool(rows), "schemaVersion": version,
+                           "nowMs": 1}, separators=(",", ":")).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nStore-Era: %d\r\nContent-Type: application/json\r\n"
+                     b"Content-Length: %d\r\n\r\n" % (self.era, len(body)) + body)
         self.sent_bytes += len(body)
 
 
+class RegisteringStore(PagingStore):
+    """Its fault: each answer of what has changed has registrations of further upstreams."""
+
+    era = 1
+    registration = {"address": "127.0.0.1:9", "born": 1,
+                    "info": {"service": "downloads", "version": "v1", "zone": "p1", "slots": 1},
+                    "status": {"state": "ready", "seq": 1, "coldLeftMs": 0}}
+
+    def rows_for(self, request):
+        is_about_registrations = b"rows-feed?table=servers" in request
+        self.pages += is_about_registrations
+        value = base64.b64encode(json.dumps(self.registration).encode()).decode()
+        rows = self.rows("r", REGISTRATIONS_PER_PAGE, value) if is_about_registrations else []
+        return rows, 10 ** 6 + self.pages
+
+
 class FaultyStoreSite(MemorySite):
     """A gateway whose store becomes faulty."""
 
     def __init__(self, binaries, kind):
         super().__init__(binaries)
-        self.store_proxy = PagingStore() if kind == PAGES else FaultyStore(kind)
+        stores = {PAGES: PagingStore, REGISTRATIONS: RegisteringStore}
+        self.store_proxy = stores[kind]() if kind in stores else FaultyStore(kind)
 
     async def prepare_gateway(self):
         self.store_proxy.store = self.store
@@ -52,12 +83,14 @@
 
 async def check_store_without_end(site):
     site.store_proxy.begin_fault()
+    if isinstance(site.store_proxy, RegisteringStore):
+        await asyncio.sleep(REGISTERING_TIME_S)
     await check_ordinary_calls_beside(site, crowd=[])
     print(f"sent {site.store_proxy.sent_bytes / BYTES_PER_MB:.0f} MB", flush=True)
     assert site.store_proxy.sent_bytes > 0, "no call reached the store"
 
 
 if __name__ == "__main__":
-    for kind in sys.argv[2:] or [*ENDLESS_ANSWERS, PAGES]:
+    for kind in sys.argv[2:] or [*ENDLESS_ANSWERS, PAGES, REGISTRATIONS]:
         print(kind, end=" ", flush=True)
         run_on(FaultyStoreSite(sys.argv[1], kind), check_store_without_end)
--- a/tests/unit/registry_agreement_test.cpp
+++ b/tests/unit/registry_agreement_test.cpp
@@ -247,6 +247,34 @@
     LONGS_EQUAL(0, registry.names_in(all_buckets).size());
 }
 
+// Guards against registrations without end, by a faulty store or peer.
+TEST(registry_agreement, no_more_upstreams_than_the_limit_are_taken_up)
+{
+    upstream_registry limited({.max_upstreams = 3}, {});
+    for (unsigned i = 1; i <= 8; ++i) {
+        registration_change change = write_at(at_version(i), 2);
+        change.name = change.registration->name = sample_upstream(i).registration.name;
+        reader.apply_changes({change}, now);
+        if (i % 2 == 0)
+            limited.apply_changes({change}, now);
+        else
+            limited.merge_records(reader.records_of({change.name}, now), now);
+    }
+    LONGS_EQUAL(3, limited.upstreams().size());
+    LONGS_EQUAL(5, limited.refused_registrations());
+    // Those that are known stay up to date, and one that has left makes room.
+    limited.apply_changes({removal_at(at_version(9))}, now);
+    now += ms(1'100);
+    limited.expire(now);
+    LONGS_EQUAL(2, limited.count_usable());
+    now += std::chrono::seconds(31);
+    limited.expire(now);
+    registration_change further = write_at(at_version(10), 3);
+    further.name = further.registration->name = sample_upstream(8).registration.name;
+    limited.apply_changes({further}, now);
+    LONGS_EQUAL(3, limited.count_usable());
+}
+
 // Guards against a digest that is kept beside the upstreams and misses a change of them.
 TEST(registry_agreement, digests_follow_each_change)
 {
