Bound the number of entries that an entry lists

What callers would see: as with registrations of upstreams. Records of further entries without end, from a store that answers well, make the gateway's memory grow until it ends.

Cause: the list took up each record.

Listed ones stay up to date, and one that leaves makes room. A full list is logged.

--- a/libraries/membership/entry_list.cpp
+++ b/libraries/membership/entry_list.cpp
@@ -20,6 +20,10 @@
             merged.erase(each.instance);
             continue;
         }
+        bool const is_one_too_many =
+            merged.size() >= max_listed_entries && !merged.contains(each.instance);
+        if (is_one_too_many)
+            continue;
         listed_member& listed = merged[each.instance];
         entry_capacity const known_capacity = listed.capacity;
         listed = each;
--- a/libraries/membership/entry_list.hpp
+++ b/libraries/membership/entry_list.hpp
@@ -17,9 +17,14 @@
     restored_list ///< The whole list of a store that has returned from an older copy.
 };
 
+/// A list has no more entries than this, so that records without end don't end the process: as many
+/// as one entry can tell another in one message, more than the largest deployment has.
+constexpr std::size_t max_listed_entries = decltype(wire::state_answer::instances)::max_elements;
+
 /// Returns the list after records were received. A restored list may lack records and have former
 /// ones: entries that run keep the record that is known, until they write it again. Changes that
-/// peers pass on name no capacity: the known one is kept.
+/// peers pass on name no capacity: the known one is kept. Records of further entries than
+/// `max_listed_entries` are passed over.
 std::vector<listed_member> merge_entry_records(std::vector<member_view> const& known,
                                                std::vector<listed_member> const& received,
                                                entry_list_kind kind);
--- a/services/burdockstep_gateway/peers/peers_task.cpp
+++ b/services/burdockstep_gateway/peers/peers_task.cpp
@@ -191,6 +191,11 @@
 {
     std::vector<listed_member> const listed = burdockstep::merge_entry_records(
         directory_.members(), received_records.entries, received_records.kind);
+    if (listed.size() >= max_listed_entries) {
+        log_.error("as many entries are listed as may be; further ones are passed over; find out "
+                   "who lists them",
+                   {field("limit", max_listed_entries)});
+    }
     directory_.apply_list(listed, context_.clock.now());
     // Datagrams of newly listed entries are accepted from now on.
     targets_.rebuild(context_.settings, directory_.members());
--- a/tests/process/test_memory_store.py
+++ b/tests/process/test_memory_store.py
@@ -11,9 +11,11 @@
 
 PAGES = "pages"
 REGISTRATIONS = "registrations"
+ENTRIES = "entries"
 ROWS_PER_PAGE = 500
 # As many as an answer may have bytes for, not as the store's pages promise.
 REGISTRATIONS_PER_PAGE = 8_000
+ENTRIES_PER_PAGE = 8_000
 # An entry asks for what has changed a few times a second.
 REGISTERING_TIME_S = 8
 # Rows as large as the store allows for a page of a megabyte.
@@ -55,24 +57,42 @@
     """Its fault: each answer of what has changed has registrations of further upstreams."""
 
     era = 1
-    registration = {"address": "127.0.0.1:9", "born": 1,
-                    "info": {"service": "downloads", "version": "v1", "zone": "p1", "slots": 1},
-                    "status": {"state": "ready", "seq": 1, "coldLeftMs": 0}}
+    table = "servers"
+    rows_per_page = REGISTRATIONS_PER_PAGE
 
     def rows_for(self, request):
-        is_about_registrations = b"rows-feed?table=servers" in request
-        self.pages += is_about_registrations
-        value = base64.b64encode(json.dumps(self.registration).encode()).decode()
-        rows = self.rows("r", REGISTRATIONS_PER_PAGE, value) if is_about_registrations else []
+        is_about_table = b"rows-feed?table=%b" % self.table.encode() in request
+        self.pages += is_about_table
+        rows = self.rows("r", self.rows_per_page, None) if is_about_table else []
+        for number, each in enumerate(rows):
+            value = json.dumps(self.value(number)).encode()
+            each.update(table=self.table, value=base64.b64encode(value).decode())
         return rows, 10 ** 6 + self.pages
 
+    def value(self, _):
+        return {"address": "127.0.0.1:9", "born": 1,
+                "info": {"service": "downloads", "version": "v1", "zone": "p1", "slots": 1},
+                "status": {"state": "ready", "seq": 1, "coldLeftMs": 0}}
+
+
+class ListingStore(RegisteringStore):
+    """Its fault: each answer of what has changed has records of further entries."""
+
+    table = "entries"
+    rows_per_page = ENTRIES_PER_PAGE
+
+    def value(self, number):
+        peers = f"127.{self.pages % 250}.{number // 250}.{number % 250 + 1}:9"
+        return {"place": "p1", "region": "r", "callers": "127.0.0.1:9", "peers": peers}
+
 
 class FaultyStoreSite(MemorySite):
     """A gateway whose store becomes faulty."""
 
     def __init__(self, binaries, kind):
         super().__init__(binaries)
-        stores = {PAGES: PagingStore, REGISTRATIONS: RegisteringStore}
+        stores = {PAGES: PagingStore, REGISTRATIONS: RegisteringStore,
+                  ENTRIES: ListingStore}
         self.store_proxy = stores[kind]() if kind in stores else FaultyStore(kind)
 
     async def prepare_gateway(self):
@@ -91,6 +111,6 @@
 
 
 if __name__ == "__main__":
-    for kind in sys.argv[2:] or [*ENDLESS_ANSWERS, PAGES, REGISTRATIONS]:
+    for kind in sys.argv[2:] or [*ENDLESS_ANSWERS, PAGES, REGISTRATIONS, ENTRIES]:
         print(kind, end=" ", flush=True)
         run_on(FaultyStoreSite(sys.argv[1], kind), check_store_without_end)
