--- a/services/burdockstepd/memory_limits.hpp
+++ b/services/burdockstepd/memory_limits.hpp
@@ -16,8 +16,8 @@
 /// Limits for calls to the platform, of operators or of the daemon itself: their answers may take
 /// an eighth of the memory.
 http_client_limits make_platform_client_limits(daemon_settings const& settings);
-/// Limits for state requests to peers and from them: the answers of either kind may take an eighth of
-/// the memory.
+/// Limits for state requests to peers and from them: the answers of either kind may take an eighth
+/// of the memory.
 framed_stream_limits make_peer_stream_limits(daemon_settings const& settings);
 /// Limits for the sends to upstreams and other entries: a quarter of the descriptors.
 http_client_limits make_send_limits();
