--- a/tests/unit/entry_list_test.cpp
+++ b/tests/unit/entry_list_test.cpp
@@ -11,6 +11,7 @@
 TEST_GROUP(entry_list){
     static std::vector<member_view> views_of(std::vector<listed_member> const& listed){
         std::vector<member_view> views;
+        views.reserve(listed.size());
 for (listed_member const& each : listed)
     views.push_back({.listed = each});
 return views;
