--- a/tests/unit/entry_list_test.cpp
+++ b/tests/unit/entry_list_test.cpp
@@ -8,16 +8,20 @@
 using namespace burdockstep;
 using namespace burdockstep::testing;
 
-TEST_GROUP(entry_list){
-    static std::vector<member_view> views_of(std::vector<listed_member> const& listed){
-        std::vector<member_view> views;
-        views.reserve(listed.size());
-for (listed_member const& each : listed)
-    views.push_back({.listed = each});
-return views;
-}
+namespace {
+
+std::vector<member_view> views_of(std::vector<listed_member> const& listed)
+{
+    std::vector<member_view> views;
+    views.reserve(listed.size());
+    for (listed_member const& each : listed)
+        views.push_back({.listed = each});
+    return views;
 }
-;
+
+} // namespace
+
+TEST_GROUP(entry_list){};
 
 // Guards against records of entries without end, by a faulty store.
 TEST(entry_list, entries_beyond_the_limit_are_passed_over)
